--- /dev/null
+++ b/src/cli/deployment_file.cc
@@ -0,0 +1,193 @@
+#include "cli/deployment_file.h"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <fstream>
+#include <sstream>
+#include <string_view>
+#include <toml++/toml.h>
+#include <utility>
+
+#include "io/event.h"
+
+namespace pitchfall::cli {
+namespace {
+
+// Reads one table; unknown keys are ignored, as the platform may add some.
+class Table {
+ public:
+  Table(const toml::table* table, std::string file, std::string path)
+      : table_(table), file_(std::move(file)), path_(std::move(path)) {}
+
+  [[noreturn]] void Fail(std::string_view key, std::string_view what) const {
+    throw SettingsError(fmt::format("{}: {}{}{} {}", file_, path_,
+                                    path_.empty() ? "" : ".", key, what));
+  }
+
+  std::string Text(std::string_view key) const {
+    const toml::node* node = Need(key);
+    if (!node->is_string()) Fail(key, "must be text");
+    std::string text = node->as_string()->get();
+    if (text.empty()) Fail(key, "must not be empty");
+    return text;
+  }
+
+  double Number(std::string_view key, double least, double most) const {
+    const toml::node* node = Need(key);
+    if (!node->is_number()) Fail(key, "must be a number");
+    double value = *node->value<double>();
+    if (!std::isfinite(value) || value < least || value > most) {
+      Fail(key, fmt::format("must be from {} to {}", least, most));
+    }
+    return value;
+  }
+  double NumberOr(std::string_view key, double least, double most,
+                  double fallback) const {
+    return Has(key) ? Number(key, least, most) : fallback;
+  }
+
+  std::string HostAndPort(std::string_view key) const {
+    std::string text = Text(key);
+    try {
+      io::ParseAddress(text);
+    } catch (const std::invalid_argument& problem) {
+      Fail(key, std::string("must be HOST:PORT: ") + problem.what());
+    }
+    return text;
+  }
+
+  std::vector<std::string> Texts(std::string_view key) const {
+    std::vector<std::string> texts;
+    if (!Has(key)) return texts;
+    const toml::array* array = table_->get(key)->as_array();
+    if (array == nullptr) Fail(key, "must be a list of texts");
+    for (const toml::node& node : *array) {
+      if (!node.is_string()) Fail(key, "must be a list of texts");
+      texts.push_back(node.as_string()->get());
+    }
+    return texts;
+  }
+
+  Table Child(std::string_view key) const {
+    std::string path = Join(key);
+    if (!Has(key)) return {nullptr, file_, path};
+    const toml::table* child = table_->get(key)->as_table();
+    if (child == nullptr) Fail(key, "must be a table");
+    return {child, file_, path};
+  }
+
+  std::vector<Table> Children(std::string_view key) const {
+    std::vector<Table> children;
+    if (!Has(key)) return children;
+    const toml::array* array = table_->get(key)->as_array();
+    if (array == nullptr) Fail(key, "must be a list of tables");
+    for (size_t i = 0; i < array->size(); ++i) {
+      const toml::table* child = (*array)[i].as_table();
+      if (child == nullptr) Fail(key, "must be a list of tables");
+      children.push_back({child, file_, fmt::format("{}[{}]", Join(key), i)});
+    }
+    return children;
+  }
+
+ private:
+  bool Has(std::string_view key) const {
+    return table_ != nullptr && table_->contains(key);
+  }
+  const toml::node* Need(std::string_view key) const {
+    if (!Has(key)) Fail(key, "is missing");
+    return table_->get(key);
+  }
+  std::string Join(std::string_view key) const {
+    return path_.empty() ? std::string(key) : fmt::format("{}.{}", path_, key);
+  }
+
+  const toml::table* table_;
+  std::string file_;
+  std::string path_;
+};
+
+constexpr double kMost = 1e9;
+
+int64_t Units(double amount) { return Resources::FromDecimal(amount); }
+
+Deployment Read(const Table& root) {
+  Deployment d;
+  d.label = root.Text("label");
+  d.zone = root.Text("site");
+  d.front = root.HostAndPort("front");
+  d.peer_bind = root.HostAndPort("peer_bind");
+  for (const Table& peer : root.Children("known")) {
+    d.peers.push_back({peer.Text("label"), peer.HostAndPort("address")});
+    if (d.peers.back().label == d.label) {
+      peer.Fail("label", "is this controller's own");
+    }
+  }
+  Table services = root.Child("services");
+  d.cloud = services.HostAndPort("cloud");
+  d.state = services.HostAndPort("state");
+
+  Table cluster = root.Child("cluster");
+  d.zones = cluster.Texts("zones");
+  d.time_bound = Seconds(cluster.NumberOr("time_bound_ms", 0, kMost, 0) / 1e3);
+  for (const Table& row : cluster.Children("teams")) {
+    Team team;
+    team.name = row.Text("name");
+    team.cpus_guaranteed = Units(row.NumberOr("cpus", 0, kMost, 0));
+    team.cpus_limit = Units(row.NumberOr("cpus_max", 0, kMost, 0));
+    team.gpus_guaranteed = Units(row.NumberOr("gpus", 0, kMost, 0));
+    team.gpus_limit = Units(row.NumberOr("gpus_max", 0, kMost, 0));
+    if (!d.teams.emplace(team.name, team).second) {
+      row.Fail("name", "stands twice");
+    }
+  }
+  for (const Table& row : cluster.Children("objectives")) {
+    Objective objective;
+    objective.kind = row.Text("kind");
+    objective.job_class = row.Text("class");
+    objective.within = Seconds(row.NumberOr("within_s", 0, kMost, 0));
+    objective.share = row.NumberOr("share", 0, 1, 0);
+    d.objectives.push_back(std::move(objective));
+  }
+  Table workers = cluster.Child("workers");
+  d.report = Seconds(workers.Number("report_s", 0.01, kMost));
+  d.worker_lease = Seconds(workers.Number("lease_s", 0.1, kMost));
+  d.cancel = Seconds(workers.Number("cancel_s", 0.1, kMost));
+  if (d.cancel <= d.worker_lease) {
+    workers.Fail("cancel_s", "must be more than lease_s");
+  }
+  Table state = cluster.Child("state");
+  d.state_rps = state.Number("rps", 1, kMost);
+  d.state_writes = state.Number("write_rps", 1, kMost);
+  d.value_kb = state.Number("value_kb", 1, kMost);
+  d.txn_ops = static_cast<uint32_t>(state.Number("txn_ops", 2, 1e6));
+  Table cloud = cluster.Child("cloud");
+  d.cloud_rps = cloud.Number("rps", 0.1, kMost);
+  d.list_lag = Seconds(cloud.NumberOr("list_lag_s", 0, kMost, 0));
+  Table resources = cluster.Child("resources");
+  d.sockets = static_cast<uint32_t>(resources.NumberOr("sockets", 16, 1e6, 1024));
+  return d;
+}
+
+}  // namespace
+
+Deployment ParseDeployment(const std::string& text, const std::string& file) {
+  try {
+    toml::table root = toml::parse(text, file);
+    return Read(Table(&root, file, ""));
+  } catch (const toml::parse_error& problem) {
+    throw SettingsError(fmt::format("{}:{}: {}", file,
+                                    problem.source().begin.line,
+                                    problem.description()));
+  }
+}
+
+Deployment LoadDeployment(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) throw SettingsError(fmt::format("{}: cannot be read", file));
+  std::ostringstream text;
+  text << in.rdbuf();
+  return ParseDeployment(text.str(), file);
+}
+
+}  // namespace pitchfall::cli
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,74 @@
+// The pitchfall command.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "cli/deployment_file.h"
+#include "cli/tuning_file.h"
+#include "io/runtime.h"
+
+namespace {
+
+constexpr char kVersion[] = "pitchfall 0.1.0";
+
+void SetUpLogging() {
+  auto logger = spdlog::stderr_logger_st("pitchfall");
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc);
+  spdlog::set_default_logger(logger);
+  const char* wanted = std::getenv("LOG_LEVEL");
+  std::string level = wanted == nullptr ? "info" : wanted;
+  if (level == "error") {
+    spdlog::set_level(spdlog::level::err);
+  } else if (level == "debug") {
+    spdlog::set_level(spdlog::level::debug);
+  } else {
+    spdlog::set_level(spdlog::level::info);
+    if (level != "info") {
+      spdlog::warn("event=log_level_unknown value={} used=info", level);
+    }
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"pitchfall: a cluster scheduler. Runs one controller until it is "
+               "killed."};
+  std::string config;
+  std::string settings;
+  bool check = false;
+  app.add_option("--config", config, "the platform's settings (TOML)")
+      ->required();
+  app.add_option("--settings", settings,
+                 "the operators' own settings (S-expressions)");
+  app.add_flag("--check", check, "check both files and exit");
+  app.set_version_flag("--version", kVersion);
+  CLI11_PARSE(app, argc, argv);
+
+  try {
+    pitchfall::Deployment deployment = pitchfall::cli::LoadDeployment(config);
+    pitchfall::Tuning tuning;
+    if (!settings.empty()) tuning = pitchfall::cli::LoadTuning(settings);
+    if (check) {
+      std::cout << "settings are valid\n";
+      return EXIT_SUCCESS;
+    }
+    SetUpLogging();
+    // A peer that goes away in the middle of a write is an ordinary event.
+    std::signal(SIGPIPE, SIG_IGN);
+    pitchfall::io::Runtime runtime(deployment, tuning);
+    runtime.Run();
+  } catch (const pitchfall::cli::SettingsError& problem) {
+    std::cerr << "pitchfall: " << problem.what() << "\n";
+    return EXIT_FAILURE;
+  } catch (const std::exception& problem) {
+    std::cerr << "pitchfall: " << problem.what() << "\n";
+    return EXIT_FAILURE;
+  }
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/cli/tuning_file.cc
@@ -0,0 +1,148 @@
+#include "cli/tuning_file.h"
+
+#include <fmt/format.h>
+#include <sfsexp/sexp.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "cli/deployment_file.h"
+
+namespace pitchfall::cli {
+namespace {
+
+struct Setting {
+  std::string_view name;
+  double least;
+  double most;
+  std::variant<Duration Tuning::*, uint32_t Tuning::*, double Tuning::*> field;
+};
+
+// Durations are in seconds.
+const Setting kSettings[] = {
+    {"node-lease", 0.5, 60, &Tuning::node_lease},
+    {"state-timeout", 0.1, 10, &Tuning::state_timeout},
+    {"cloud-timeout", 0.5, 60, &Tuning::cloud_timeout},
+    {"hold-report", 0, 3, &Tuning::hold_report},
+    {"idle-before-return", 0, 3600, &Tuning::idle_before_return},
+    {"max-machines", 0, 100000, &Tuning::max_machines},
+    {"parts", 0, 64, &Tuning::parts},
+    {"chunk-tasks", 1, 128, &Tuning::chunk_tasks},
+    {"claim-delay", 0, 60, &Tuning::claim_delay},
+    {"handover-after", 1, 3600, &Tuning::handover_after},
+};
+
+struct FreeSexp {
+  void operator()(sexp_t* s) const { destroy_sexp(s); }
+};
+
+void Apply(Tuning& tuning, const Setting& setting, double value) {
+  std::visit(
+      [&](auto field) {
+        using Field = std::decay_t<decltype(tuning.*field)>;
+        if constexpr (std::is_same_v<Field, Duration>) {
+          tuning.*field = Seconds(value);
+        } else {
+          tuning.*field = static_cast<Field>(value);
+        }
+      },
+      setting.field);
+}
+
+// The library does not say where an expression stands, so each top-level one is
+// cut out first and handed over by itself.
+struct Form {
+  std::string text;
+  int line = 1;
+};
+
+std::vector<Form> Split(const std::string& text, const std::string& file) {
+  std::vector<Form> forms;
+  int line = 1;
+  int depth = 0;
+  bool comment = false;
+  for (char c : text) {
+    if (c == '\n') {
+      ++line;
+      comment = false;
+    }
+    if (c == ';') comment = true;
+    if (comment) continue;
+    if (c == '(') {
+      if (depth++ == 0) forms.push_back({"", line});
+    }
+    if (depth > 0) {
+      forms.back().text += c == '\n' ? ' ' : c;
+    } else if (!std::isspace(static_cast<unsigned char>(c))) {
+      throw SettingsError(fmt::format(
+          "{}:{}: expected a setting in parentheses, such as (parts 3)", file,
+          line));
+    }
+    if (c == ')') --depth;
+  }
+  if (depth > 0) {
+    throw SettingsError(fmt::format(
+        "{}:{}: the parenthesis opened here is not closed", file,
+        forms.back().line));
+  }
+  return forms;
+}
+
+}  // namespace
+
+Tuning ParseTuning(const std::string& text, const std::string& file) {
+  Tuning tuning;
+  for (Form& form : Split(text, file)) {
+    auto fail = [&](const std::string& what) {
+      throw SettingsError(fmt::format("{}:{}: {}", file, form.line, what));
+    };
+    std::unique_ptr<sexp_t, FreeSexp> sexp(
+        parse_sexp(form.text.data(), form.text.size()));
+    if (!sexp || sexp->ty != SEXP_LIST || sexp->list == nullptr ||
+        sexp->list->ty != SEXP_VALUE) {
+      fail("not a setting: expected (NAME NUMBER)");
+    }
+    std::string_view name = sexp->list->val;
+    const Setting* setting =
+        std::find_if(std::begin(kSettings), std::end(kSettings),
+                     [&](const Setting& s) { return s.name == name; });
+    if (setting == std::end(kSettings)) {
+      fail(fmt::format("unknown setting '{}'", name));
+    }
+    const sexp_t* value = sexp->list->next;
+    if (value == nullptr || value->ty != SEXP_VALUE || value->next != nullptr) {
+      fail(fmt::format("{} takes one number", name));
+    }
+    double number = 0;
+    std::string_view digits = value->val;
+    auto parsed =
+        std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    if (parsed.ec != std::errc() ||
+        parsed.ptr != digits.data() + digits.size() || !std::isfinite(number)) {
+      fail(fmt::format("{}: '{}' is not a number", name, digits));
+    }
+    if (number < setting->least || number > setting->most) {
+      fail(fmt::format("{} must be from {} to {}", name, setting->least,
+                       setting->most));
+    }
+    Apply(tuning, *setting, number);
+  }
+  return tuning;
+}
+
+Tuning LoadTuning(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) throw SettingsError(fmt::format("{}: cannot be read", file));
+  std::ostringstream text;
+  text << in.rdbuf();
+  return ParseTuning(text.str(), file);
+}
+
+}  // namespace pitchfall::cli
--- /dev/null
+++ b/src/core/budget.h
@@ -0,0 +1,55 @@
+// A token bucket: how much of a shared rate this process may use.
+#ifndef PITCHFALL_CORE_BUDGET_H_
+#define PITCHFALL_CORE_BUDGET_H_
+
+#include <algorithm>
+
+#include "core/time.h"
+
+namespace pitchfall {
+
+class TokenBucket {
+ public:
+  TokenBucket(double per_second, double burst)
+      : rate_(per_second), burst_(burst), tokens_(burst) {}
+
+  // Changes the rate; tokens beyond the new burst are lost.
+  void SetRate(double per_second, double burst) {
+    rate_ = per_second;
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst_);
+  }
+
+  double Available(SteadyTime now) {
+    if (now > last_) {
+      tokens_ = std::min(burst_, tokens_ + rate_ * ToSeconds(now - last_));
+      last_ = now;
+    }
+    return tokens_;
+  }
+
+  // Takes `count` tokens if there are that many above `reserve`.
+  bool Take(SteadyTime now, double count, double reserve = 0) {
+    if (Available(now) < count + reserve) return false;
+    tokens_ -= count;
+    return true;
+  }
+
+  // The service said 429: others have used the rate up.
+  void Drain(SteadyTime now) {
+    Available(now);
+    tokens_ = std::min(tokens_, 0.0);
+  }
+
+  double rate() const { return rate_; }
+
+ private:
+  double rate_;
+  double burst_;
+  double tokens_;
+  SteadyTime last_{};
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_BUDGET_H_
--- /dev/null
+++ b/src/core/controller.cc
@@ -0,0 +1,181 @@
+#include "core/controller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/hash.h"
+
+namespace pitchfall {
+namespace {
+
+constexpr Duration kHelloGap = Millis(500);
+constexpr Duration kPeerFresh = Millis(2500);
+
+}  // namespace
+
+Controller::Controller(Deployment deployment, Tuning tuning, std::string life)
+    : deployment_(std::move(deployment)),
+      tuning_(tuning),
+      requests_(deployment_.state_rps / 3, deployment_.state_rps / 3),
+      writes_(deployment_.state_writes / 3, deployment_.state_writes / 3),
+      cloud_(deployment_.cloud_rps / 2, deployment_.cloud_rps),
+      follower_(deployment_, tuning_, out_, mirror_, requests_),
+      context_{deployment_, tuning_,   out_,
+               mirror_,     follower_, requests_,
+               writes_,     cloud_,    std::move(life),
+               tuning_.parts > 0
+                   ? tuning_.parts
+                   : static_cast<uint32_t>(deployment_.peers.size() + 1)},
+      ownership_(context_),
+      users_(context_, [this] { return FreeRoom(); }) {}
+
+std::vector<Effect> Controller::Handle(Now now,
+                                       std::span<const Command> commands) {
+  out_.set_now(now);
+  if (started_ == SteadyTime{}) started_ = now.steady;
+  for (const Command& command : commands) {
+    std::visit([this](const auto& c) { On(c); }, command);
+  }
+  ShareBudgets();
+  ownership_.Step();
+  FollowOwnership();
+  for (auto& [number, part] : parts_) part->Step();
+  if (fleet_) fleet_->Step();
+  users_.Step();
+  ExchangeHellos();
+  ConsiderStrays();
+  follower_.Step();
+  return out_.TakeEffects();
+}
+
+void Controller::FollowOwnership() {
+  if (!follower_.loaded()) return;
+  for (uint32_t number = 0; number < context_.parts; ++number) {
+    std::optional<uint64_t> token = ownership_.TokenOf(number);
+    auto part = parts_.find(number);
+    bool changed = part == parts_.end() ? token.has_value()
+                                        : part->second->token() != token;
+    if (!changed) continue;
+    parts_.erase(number);
+    if (number == 0) fleet_.reset();
+    if (!token) continue;
+    parts_.emplace(number, std::make_unique<Part>(context_, number, *token));
+    if (number == 0) fleet_.emplace(context_, *token);
+  }
+}
+
+// The platform's limits hold for all controllers together. Owners of parts need
+// the most writes, the leader most of the calls to the cloud.
+void Controller::ShareBudgets() {
+  double nodes = std::max<double>(1, static_cast<double>(mirror_.nodes().size()));
+  double parts = static_cast<double>(context_.parts);
+  double share = 0.4 / nodes + 0.6 * static_cast<double>(parts_.size()) / parts;
+  writes_.SetRate(deployment_.state_writes * share,
+                  std::max(1.0, deployment_.state_writes * share));
+  requests_.SetRate(deployment_.state_rps / nodes,
+                    deployment_.state_rps / nodes);
+  double cloud = deployment_.cloud_rps * (fleet_ ? 0.6 : 0.4 / nodes);
+  cloud_.SetRate(cloud, std::max(1.0, cloud));
+}
+
+void Controller::On(const HealthCheck& command) {
+  if (Healthy()) {
+    out_.Answer(command.request, 200);
+  } else {
+    out_.Refuse(command.request, Millis(2000));
+  }
+}
+
+// While nobody can reach the state service, users are better off with an
+// answer that says when to come back than with no controller at all. If only
+// this one cannot, they are better off with another.
+bool Controller::Healthy() const {
+  if (follower_.Fresh()) return true;
+  for (const auto& [label, peer] : peers_) {
+    if (out_.now().steady - peer.heard < kPeerFresh &&
+        peer.hello.state_age < Millis(2000)) {
+      return false;
+    }
+  }
+  return follower_.loaded();
+}
+
+void Controller::On(const CheckIn& command) {
+  uint32_t number = PartOf(command.report.machine, context_.parts);
+  auto part = parts_.find(number);
+  if (part != parts_.end()) {
+    strays_.erase(command.report.machine);
+    part->second->CheckIn(command.request, command.report);
+    return;
+  }
+  strays_[command.report.machine] = {number, out_.now().steady};
+  std::string owner = follower_.Fresh() ? ownership_.OwnerOf(number) : "";
+  if (owner.empty()) {
+    out_.Answer(command.request, 503, Problem{"no owner known"});
+  } else {
+    out_.Answer(command.request, 421, Redirect{owner});
+  }
+}
+
+void Controller::On(const PeerHello& hello) {
+  // A cut can hold messages back for minutes.
+  Duration age = out_.now().wall - hello.sent;
+  if (age > kPeerFresh + 2 * deployment_.time_bound) return;
+  peers_[hello.label] = {hello, out_.now().steady};
+}
+
+std::vector<int64_t> Controller::FreeRoom() const {
+  std::vector<int64_t> room(context_.parts, 0);
+  for (const auto& [label, peer] : peers_) {
+    if (out_.now().steady - peer.heard > kPeerFresh) continue;
+    for (size_t i = 0; i < std::min(room.size(), peer.hello.free_cpus.size());
+         ++i) {
+      if (peer.hello.free_cpus[i] >= 0) room[i] = peer.hello.free_cpus[i];
+    }
+  }
+  for (const auto& [number, part] : parts_) room[number] = part->FreeCpus();
+  return room;
+}
+
+void Controller::ExchangeHellos() {
+  SteadyTime now = out_.now().steady;
+  if (now < next_hello_) return;
+  next_hello_ = now + kHelloGap;
+  PeerHello hello;
+  hello.label = deployment_.label;
+  hello.life = context_.life;
+  hello.sent = out_.now().wall;
+  hello.state_age =
+      follower_.loaded() ? follower_.Age() : Duration(Millis(3600 * 1000));
+  hello.strays.assign(context_.parts, 0);
+  Duration recent = 3 * deployment_.report;
+  std::erase_if(strays_, [&](const auto& entry) {
+    return now - entry.second.second > recent;
+  });
+  for (const auto& [machine, stray] : strays_) hello.strays[stray.first] += 1;
+  hello.free_cpus.assign(context_.parts, -1);
+  for (const auto& [number, part] : parts_) {
+    hello.free_cpus[number] = part->FreeCpus();
+  }
+  out_.Send(std::move(hello));
+}
+
+// Workers that cannot reach their owner go round the other controllers. If this
+// owner has heard none of them for a while and a peer has, the peer takes over.
+void Controller::ConsiderStrays() {
+  SteadyTime now = out_.now().steady;
+  Duration patience = 3 * deployment_.report + Millis(500);
+  for (const auto& [number, part] : parts_) {
+    if (now - part->last_heard() < patience) continue;
+    for (const auto& [label, peer] : peers_) {
+      if (now - peer.heard > kPeerFresh || peer.hello.strays.size() <= number ||
+          peer.hello.strays[number] == 0) {
+        continue;
+      }
+      ownership_.HandOver(number, label, true);
+      break;
+    }
+  }
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/controller.h
@@ -0,0 +1,82 @@
+// The whole controller without its sockets: commands in, effects out.
+#ifndef PITCHFALL_CORE_CONTROLLER_H_
+#define PITCHFALL_CORE_CONTROLLER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+#include "core/fleet.h"
+#include "core/ownership.h"
+#include "core/part.h"
+#include "core/users.h"
+
+namespace pitchfall {
+
+class Controller {
+ public:
+  // `life` must differ from that of every process that ever ran.
+  Controller(Deployment deployment, Tuning tuning, std::string life);
+
+  // Works through a batch of commands at one moment and returns what is to be
+  // done. A Tick should come at least every few tens of milliseconds.
+  std::vector<Effect> Handle(Now now, std::span<const Command> commands);
+
+  const Mirror& mirror() const { return mirror_; }
+
+ private:
+  struct Peer {
+    PeerHello hello;
+    SteadyTime heard{};
+  };
+
+  void On(const SubmitJob& command) {
+    users_.Submit(command.request, command.spec);
+  }
+  void On(const PollJob& command) { users_.Poll(command.request, command.job); }
+  void On(const CancelJob& command) {
+    users_.Cancel(command.request, command.job);
+  }
+  void On(const HealthCheck& command);
+  void On(const CheckIn& command);
+  void On(const StateReply& reply) { out_.Handle(reply); }
+  void On(const CloudReply& reply) { out_.Handle(reply); }
+  void On(const WorkerReply& reply) { out_.Handle(reply); }
+  void On(const PeerHello& hello);
+  void On(const Tick&) {}
+
+  void FollowOwnership();
+  void ShareBudgets();
+  void ExchangeHellos();
+  void ConsiderStrays();
+  bool Healthy() const;
+  std::vector<int64_t> FreeRoom() const;
+
+  const Deployment deployment_;
+  const Tuning tuning_;
+  Outbox out_;
+  Mirror mirror_;
+  TokenBucket requests_;
+  TokenBucket writes_;
+  TokenBucket cloud_;
+  Follower follower_;
+  Context context_;
+  Ownership ownership_;
+  Users users_;
+  std::map<uint32_t, std::unique_ptr<Part>> parts_;
+  std::optional<Fleet> fleet_;
+  std::map<std::string, Peer> peers_;
+  // Workers that came here and were sent on, by part, and when last.
+  std::map<std::string, std::pair<uint32_t, SteadyTime>> strays_;
+  SteadyTime next_hello_{};
+  SteadyTime started_{};
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_CONTROLLER_H_
--- /dev/null
+++ b/src/core/fleet.h
@@ -0,0 +1,78 @@
+// The leader's work: how many machines there should be, renting them, choosing
+// which to return. The owner of part 0 leads.
+#ifndef PITCHFALL_CORE_FLEET_H_
+#define PITCHFALL_CORE_FLEET_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "core/context.h"
+
+namespace pitchfall {
+
+class Fleet {
+ public:
+  Fleet(Context& context, uint64_t token);
+
+  void Step();
+
+ private:
+  // A kind of machine that can be rented.
+  struct Offer {
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    auto operator<=>(const Offer&) const = default;
+  };
+  struct Known {
+    Offer offer;
+    MachineStatus status = MachineStatus::kBooting;
+    SteadyTime rented{};
+    SteadyTime listed{};  // last seen in the list; epoch: never
+    bool worked = false;  // has had tasks
+    std::optional<SteadyTime> idle_since;
+  };
+
+  void FetchTypes();
+  void FetchList(std::string after, std::shared_ptr<std::set<std::string>> seen,
+                 SteadyTime started);
+  void OnList(const std::set<std::string>& seen, SteadyTime started);
+  void Resize();
+  void FollowRentals();
+  void SendRental(const std::string& name, const RentalRecord& record);
+  void StoreDrain(const std::vector<std::string>& names);
+  void StoreTypes(TypesRecord types);
+  double Price(const Offer& offer) const;
+  std::vector<Offer> OffersByPrice() const;
+  int Wanted();
+  bool Draining(const std::string& machine) const;
+  void Store(Transaction txn, Outbox::StateHandler handler);
+
+  Context& context_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  const uint64_t token_;
+  uint32_t rentals_made_ = 0;
+  std::map<std::string, Known> machines_;
+  std::map<Offer, SteadyTime> refused_until_;
+  std::set<std::string> sending_;
+  std::map<std::string, SteadyTime> next_send_;
+  std::set<std::string> deleting_;
+  bool storing_ = false;
+  bool listing_ = false;
+  bool listed_once_ = false;
+  bool fetching_types_ = false;
+  SteadyTime next_types_{};
+  SteadyTime next_list_{};
+  SteadyTime next_resize_{};
+  std::optional<SteadyTime> below_since_;
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_FLEET_H_
--- /dev/null
+++ b/src/core/follower.cc
@@ -0,0 +1,82 @@
+#include "core/follower.h"
+
+#include <memory>
+#include <utility>
+
+namespace pitchfall {
+
+void Follower::Step() {
+  if (reading_) return;
+  SteadyTime now = out_.now().steady;
+  if (now < next_) return;
+  bool wanted = wanted_ || !waiting_.empty() || !loaded_;
+  if (!wanted && now - started_ < kIdleGap) return;
+  if (!requests_.Take(now, 1)) return;
+  reading_ = true;
+  wanted_ = false;
+  started_ = now;
+  served_ = std::exchange(waiting_, {});
+  if (loaded_) {
+    StartWatch();
+  } else {
+    StartList("", std::make_shared<Mirror>(), 0);
+  }
+}
+
+void Follower::StartWatch() {
+  out_.CallState(WatchRead{mirror_.revision()}, tuning_.state_timeout,
+                 [this](const StateReply& reply) {
+                   if (reply.status == 410) {
+                     // Too far behind: read everything again.
+                     loaded_ = false;
+                     out_.Log(LogLevel::kWarning,
+                              "event=state_reread reason=log_too_old");
+                     Finish(false);
+                     return;
+                   }
+                   if (reply.status == 200) {
+                     for (const Change& change : reply.changes) {
+                       mirror_.Apply(change);
+                     }
+                     mirror_.AdvanceTo(reply.revision);
+                   }
+                   Finish(reply.status == 200);
+                 });
+}
+
+void Follower::StartList(std::string after, std::shared_ptr<Mirror> fresh,
+                         uint64_t revision) {
+  out_.CallState(
+      ListRead{std::move(after)}, tuning_.state_timeout,
+      [this, fresh, revision](const StateReply& reply) {
+        if (reply.status != 200) {
+          Finish(false);
+          return;
+        }
+        for (const Change& row : reply.changes) fresh->Apply(row);
+        // Later pages may be newer than the first: the watch goes on from the
+        // first page's revision and brings the rest again, in order.
+        uint64_t first = revision == 0 ? reply.revision : revision;
+        if (reply.more && !reply.changes.empty()) {
+          StartList(reply.changes.back().key, fresh, first);
+          return;
+        }
+        fresh->AdvanceTo(first);
+        mirror_.Replace(std::move(*fresh));
+        loaded_ = true;
+        wanted_ = true;  // what changed between the pages
+        out_.Log(LogLevel::kInfo, "event=state_loaded revision={} open_jobs={}",
+                 mirror_.revision(), mirror_.open_jobs().size());
+        Finish(true);
+      });
+}
+
+void Follower::Finish(bool ok) {
+  SteadyTime now = out_.now().steady;
+  reading_ = false;
+  if (ok) known_at_ = started_;
+  next_ = now + (ok ? kBusyGap : kFailureGap);
+  for (Waiter& waiter : std::exchange(served_, {})) waiter(ok);
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/jobs.cc
@@ -0,0 +1,52 @@
+#include "core/jobs.h"
+
+#include <algorithm>
+
+namespace pitchfall {
+
+JobAnswer Describe(const Job& job, bool counts) {
+  JobAnswer answer;
+  answer.id = job.spec().id;
+  answer.counts = counts;
+  answer.done = std::min(job.done, job.spec().tasks);
+  switch (job.record.state) {
+    case JobState::kDone:
+      answer.status = JobAnswer::Status::kDone;
+      answer.done = job.spec().tasks;
+      return answer;
+    case JobState::kCancelled:
+      answer.status = JobAnswer::Status::kCancelled;
+      return answer;
+    case JobState::kAccepted:
+      break;
+  }
+  answer.running = job.assigned;
+  answer.status = job.assigned > 0 ? JobAnswer::Status::kRunning
+                                   : JobAnswer::Status::kQueued;
+  return answer;
+}
+
+std::string WhyImpossible(const JobSpec& spec, const Deployment& deployment,
+                          const TypesRecord& types) {
+  auto team = deployment.teams.find(spec.team);
+  if (team == deployment.teams.end()) return "unknown team " + spec.team;
+  const Team& limits = team->second;
+  if (limits.cpus_limit > 0 && spec.need.cpus > limits.cpus_limit) {
+    return "a task needs more processors than team " + spec.team + " may use";
+  }
+  if (limits.gpus_limit > 0 && spec.need.gpus > limits.gpus_limit) {
+    return "a task needs more accelerators than team " + spec.team + " may use";
+  }
+  for (const MachineType& type : types.types) {
+    if (!spec.AllowsType(type.name)) continue;
+    if (!spec.zone.empty() &&
+        std::find(type.zones.begin(), type.zones.end(), spec.zone) ==
+            type.zones.end()) {
+      continue;
+    }
+    if (spec.need.FitsIn(type.capacity)) return "";
+  }
+  return "a task fits no machine type that the job allows";
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/jobs.h
@@ -0,0 +1,62 @@
+// A job and what has become of its tasks.
+#ifndef PITCHFALL_CORE_JOBS_H_
+#define PITCHFALL_CORE_JOBS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/messages.h"
+#include "core/records.h"
+#include "core/settings.h"
+
+namespace pitchfall {
+
+struct Job {
+  struct Chunk {
+    ChunkRecord record;
+    uint64_t stamp = 0;
+  };
+
+  JobRecord record;
+  uint64_t stamp = 0;
+  std::map<uint32_t, Chunk> chunks;
+
+  // Derived from the chunks.
+  uint32_t done = 0;
+  uint32_t assigned = 0;
+
+  const JobSpec& spec() const { return record.spec; }
+  bool open() const { return !record.final() || !chunks.empty(); }
+  // Tasks that are neither done nor bound to a machine.
+  uint32_t waiting() const {
+    if (record.final()) return 0;
+    return spec().tasks - std::min(spec().tasks, done + assigned);
+  }
+  uint32_t chunk_of(uint32_t task) const { return task / record.chunk_size; }
+  uint32_t chunk_begin(uint32_t chunk) const {
+    return chunk * record.chunk_size;
+  }
+  uint32_t chunk_end(uint32_t chunk) const {
+    return std::min(spec().tasks, (chunk + 1) * record.chunk_size);
+  }
+  // The part that should take this chunk first.
+  uint32_t home_of(uint32_t chunk, uint32_t parts) const {
+    return (record.home + chunk % std::max(1u, record.spread_over)) % parts;
+  }
+  const Chunk* FindChunk(uint32_t chunk) const {
+    auto it = chunks.find(chunk);
+    return it == chunks.end() ? nullptr : &it->second;
+  }
+};
+
+// The state of a job as its user sees it.
+JobAnswer Describe(const Job& job, bool counts);
+
+// Whether a job can ever run here; empty, or what stands in its way.
+std::string WhyImpossible(const JobSpec& spec, const Deployment& deployment,
+                          const TypesRecord& types);
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_JOBS_H_
--- /dev/null
+++ b/src/core/machines.cc
@@ -0,0 +1,99 @@
+#include "core/machines.h"
+
+#include <algorithm>
+
+namespace pitchfall {
+namespace {
+
+const ReportedTask* FindTry(const WorkerReport& report, const TaskKey& key,
+                            uint32_t attempt) {
+  for (const ReportedTask& task : report.tasks) {
+    if (task.task == key.second && task.attempt == attempt &&
+        task.job == key.first) {
+      return &task;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+Verdict Judge(const Machine& machine, const TaskKey& key, const HeldTask& task,
+              uint64_t token, bool wanted) {
+  if (machine.gone) return Verdict::kGone;
+  if (!machine.report || machine.report->token < token) return Verdict::kHeld;
+  const WorkerReport& report = *machine.report;
+  const ReportedTask* found = FindTry(report, key, task.attempt);
+  if (found != nullptr) {
+    if (found->state != TaskState::kExited) return Verdict::kHeld;
+    switch (found->cause) {
+      case ExitCause::kDone:
+        return Verdict::kDone;
+      case ExitCause::kError:
+        return Verdict::kFailed;
+      case ExitCause::kNoRoom:
+      case ExitCause::kBusy:
+      case ExitCause::kUnknownTask:
+        return Verdict::kRefused;
+      case ExitCause::kStopped:
+      case ExitCause::kNone:
+        return Verdict::kGone;
+    }
+  }
+  // An earlier owner's start can have run in an earlier session, and this
+  // owner's too: never start the same try again then.
+  if (task.inherited || task.seen) return Verdict::kGone;
+  if (!task.start_sent) return wanted ? Verdict::kHeld : Verdict::kGone;
+  if (task.start_sent->first != report.session) return Verdict::kGone;
+  if (*task.start_sent >= std::pair(report.session, report.seq)) {
+    return Verdict::kHeld;
+  }
+  return wanted ? Verdict::kHeld : Verdict::kGone;
+}
+
+std::vector<Order> MakeOrders(Machine& machine, const OrderPolicy& policy) {
+  std::vector<Order> stops;
+  std::vector<Order> forgets;
+  std::vector<Order> starts;
+  if (!machine.report) return stops;
+  const WorkerReport& report = *machine.report;
+  for (const ReportedTask& task : report.tasks) {
+    auto held = machine.held.find({task.job, task.task});
+    bool known =
+        held != machine.held.end() && held->second.attempt == task.attempt;
+    if (task.state == TaskState::kExited) {
+      // Kept by the worker until its end is stored.
+      if (!known) {
+        forgets.push_back(
+            {Order::Op::kForget, task.job, task.task, task.attempt, {}});
+      }
+      continue;
+    }
+    if (!known) {
+      stops.push_back(
+          {Order::Op::kStop, task.job, task.task, task.attempt, {}});
+    } else if (!policy.wanted(held->second) || held->second.stop) {
+      const JobSpec& spec = held->second.job->spec();
+      bool save = policy.wanted(held->second) && spec.checkpoint.count() > 0;
+      stops.push_back({Order::Op::kStop, task.job, task.task, task.attempt,
+                       save ? spec.save + Millis(1000) : Duration(0)});
+    }
+  }
+  if (policy.may_start) {
+    for (auto& [key, task] : machine.held) {
+      if (task.inherited || task.seen || task.stop || !policy.wanted(task) ||
+          FindTry(report, key, task.attempt) != nullptr) {
+        continue;
+      }
+      if (task.start_sent && task.start_sent->first != report.session) continue;
+      task.start_sent = std::pair(report.session, report.seq);
+      starts.push_back(
+          {Order::Op::kStart, key.first, key.second, task.attempt, {}});
+    }
+  }
+  stops.insert(stops.end(), forgets.begin(), forgets.end());
+  stops.insert(stops.end(), starts.begin(), starts.end());
+  return stops;
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/machines.h
@@ -0,0 +1,107 @@
+// A machine as its part's owner knows it: what is bound to it in the state
+// service, what its worker has reported, and what may be concluded from both.
+#ifndef PITCHFALL_CORE_MACHINES_H_
+#define PITCHFALL_CORE_MACHINES_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/jobs.h"
+#include "core/messages.h"
+#include "core/time.h"
+
+namespace pitchfall {
+
+using TaskKey = std::pair<std::string, uint32_t>;  // job, task
+
+// A stored assignment to this machine.
+struct HeldTask {
+  const Job* job = nullptr;
+  uint32_t attempt = 0;
+  // Bound by an earlier owner of the part, who may have sent the start.
+  bool inherited = false;
+  // Reported by the worker since this process owns the part.
+  bool seen = false;
+  // Session and number of the report whose answer last carried the start.
+  std::optional<std::pair<uint64_t, uint64_t>> start_sent;
+  // Told to stop, to make room or to empty the machine.
+  bool stop = false;
+  std::optional<TaskState> state;
+};
+
+struct Machine {
+  std::string name;
+  std::string address;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  Resources capacity;  // zero until the type is known
+
+  std::map<TaskKey, HeldTask> held;
+  Resources used;       // by what is held
+  Resources stray_use;  // by reported tasks that are not held
+  Resources planned;    // by assignments of the transaction being built
+
+  std::optional<WorkerReport> report;  // the newest
+  SteadyTime heard{};
+  // Since when the worker is known to have seen my token, and the last answer
+  // it can have taken since. Without the former nothing follows from silence:
+  // an earlier owner may still answer.
+  bool token_seen = false;
+  SteadyTime last_answer{};
+  RequestId waiting = 0;  // the request to answer
+  SteadyTime waiting_since{};
+
+  bool drain = false;     // gets no new tasks
+  bool deleting = false;  // deletion asked for; it may come any time now
+  bool gone = false;      // proven
+  std::optional<SteadyTime> taken_at;  // spot notice
+  std::optional<SteadyTime> idle_since;
+  SteadyTime quarantined_until{};
+  int errors_in_a_row = 0;
+  std::set<std::string> images;
+
+  Resources Free() const { return capacity - used - stray_use - planned; }
+  bool TakesTasks(SteadyTime now) const {
+    return report && token_seen && !drain && !deleting && !gone && !taken_at &&
+           now >= quarantined_until;
+  }
+};
+
+// What a newer report (or its silence) says of a held task.
+enum class Verdict : uint8_t {
+  kHeld,     // there, or on its way
+  kDone,     // completed
+  kFailed,   // ended with an error
+  kRefused,  // the worker had no room, or another try of the task
+  kGone,     // stopped, lost, or never started and not to be started
+};
+
+// Judges one held task by the machine's newest report. `wanted` is false if the
+// task should not be started any more.
+//
+// A task that the report lacks is gone only if the worker had seen this owner's
+// token when it sent the report (no answer of an earlier owner can start it any
+// more) and the report is newer than the one whose answer carried the start.
+Verdict Judge(const Machine& machine, const TaskKey& key, const HeldTask& task,
+              uint64_t token, bool wanted);
+
+struct OrderPolicy {
+  uint64_t token = 0;
+  bool may_start = false;
+  // Whether a held task should be running.
+  std::function<bool(const HeldTask&)> wanted;
+};
+
+// The orders that answer the machine's newest report. Marks the starts as sent.
+std::vector<Order> MakeOrders(Machine& machine, const OrderPolicy& policy);
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_MACHINES_H_
--- /dev/null
+++ b/src/core/messages.h
@@ -0,0 +1,274 @@
+// Commands that the core takes in and effects that it asks for. The core never
+// touches a socket or a clock; src/io does that.
+#ifndef PITCHFALL_CORE_MESSAGES_H_
+#define PITCHFALL_CORE_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/records.h"
+#include "core/time.h"
+
+namespace pitchfall {
+
+using RequestId = uint64_t;  // an incoming request that waits for its answer
+using CallId = uint64_t;     // an outgoing request
+
+// ---- Workers ----
+
+enum class TaskState : uint8_t { kFetching, kRunning, kSaving, kExited };
+enum class ExitCause : uint8_t {
+  kNone,
+  kDone,
+  kStopped,
+  kError,
+  kNoRoom,
+  kBusy,
+  kUnknownTask,
+};
+
+struct ReportedTask {
+  std::string job;
+  uint32_t task = 0;
+  uint32_t attempt = 0;
+  TaskState state = TaskState::kFetching;
+  ExitCause cause = ExitCause::kNone;
+};
+
+struct WorkerReport {
+  std::string machine;
+  std::string address;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  uint64_t session = 0;
+  uint64_t seq = 0;
+  uint64_t token = 0;
+  std::optional<Duration> notice;
+  std::vector<ReportedTask> tasks;
+};
+
+struct Order {
+  enum class Op : uint8_t { kStart, kStop, kForget };
+  Op op = Op::kStart;
+  std::string job;
+  uint32_t task = 0;
+  uint32_t attempt = 0;
+  Duration grace{0};
+};
+
+struct Orders {
+  uint64_t token = 0;
+  std::vector<Order> orders;
+};
+
+// ---- State service ----
+
+struct Condition {
+  std::string key;
+  uint64_t stamp = 0;  // 0: the key does not exist
+};
+
+struct Write {
+  std::string key;
+  std::optional<Record> value;  // none: delete
+  uint64_t lease = 0;           // 0: none
+};
+
+struct Transaction {
+  std::vector<Condition> conditions;
+  std::vector<Write> writes;
+};
+
+struct Grant {
+  Duration ttl{0};
+};
+struct Renew {
+  uint64_t lease = 0;
+};
+struct WatchRead {  // answers at once with all changes since `from`
+  uint64_t from = 0;
+};
+struct ListRead {
+  std::string after;
+};
+
+using StateRequest =
+    std::variant<Transaction, Grant, Renew, WatchRead, ListRead>;
+
+struct Change {
+  std::string key;
+  std::optional<Record> value;  // none: deleted
+  uint64_t stamp = 0;
+  // Not written by this version of pitchfall. Such a change is passed over, so
+  // that writes that would build on it fail.
+  bool unreadable = false;
+};
+
+// `status` 0: no answer; the request may have been carried out or may yet be.
+struct StateReply {
+  CallId call = 0;
+  int status = 0;
+  uint64_t revision = 0;
+  uint64_t lease = 0;
+  std::vector<std::string> failed;
+  std::vector<Change> changes;  // of a watch read or a list
+  bool more = false;
+  bool no_lease = false;  // 400 with "no such lease"
+};
+
+// ---- Cloud ----
+
+struct GetTypes {};
+struct Rent {
+  std::string name;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  uint32_t count = 0;
+};
+struct DeleteMachines {
+  std::vector<std::string> machines;
+};
+struct ListMachines {
+  std::string after;
+};
+using CloudRequest = std::variant<GetTypes, Rent, DeleteMachines, ListMachines>;
+
+enum class MachineStatus : uint8_t { kBooting, kRunning, kFailed };
+struct ListedMachine {
+  std::string name;
+  std::string address;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  MachineStatus status = MachineStatus::kBooting;
+  Duration age{0};
+};
+
+struct CloudReply {
+  CallId call = 0;
+  int status = 0;
+  bool no_capacity = false;
+  std::vector<MachineType> types;
+  std::vector<std::string> rented;
+  std::vector<ListedMachine> listed;
+  bool more = false;
+};
+
+// ---- Workers, called directly ----
+
+struct CommandWorker {
+  uint64_t token = 0;
+  uint64_t session = 0;
+  std::vector<Order> orders;
+};
+struct InspectWorker {};
+using WorkerRequest = std::variant<CommandWorker, InspectWorker>;
+struct WorkerReply {
+  CallId call = 0;
+  int status = 0;
+  std::optional<WorkerReport> report;
+};
+
+// ---- Other controllers ----
+
+struct PeerHello {
+  std::string label;
+  std::string life;
+  WallTime sent;
+  Duration state_age{0};       // since this controller last read the state
+  // Per part: workers that came here in the last seconds because they could
+  // not reach its owner, and the free room of those parts that I own (-1: not
+  // mine).
+  std::vector<uint32_t> strays;
+  std::vector<int64_t> free_cpus;
+};
+
+// ---- Commands ----
+
+struct SubmitJob {
+  RequestId request = 0;
+  JobSpec spec;
+};
+struct PollJob {
+  RequestId request = 0;
+  std::string job;
+};
+struct CancelJob {
+  RequestId request = 0;
+  std::string job;
+};
+struct HealthCheck {
+  RequestId request = 0;
+};
+struct CheckIn {
+  RequestId request = 0;
+  WorkerReport report;
+};
+struct Tick {};
+
+using Command =
+    std::variant<SubmitJob, PollJob, CancelJob, HealthCheck, CheckIn,
+                 StateReply, CloudReply, WorkerReply, PeerHello, Tick>;
+
+// ---- Effects ----
+
+struct JobAnswer {
+  std::string id;
+  enum class Status : uint8_t { kQueued, kRunning, kDone, kCancelled };
+  Status status = Status::kQueued;
+  bool counts = false;  // with the numbers of tasks, as a poll wants them
+  uint32_t done = 0;
+  uint32_t running = 0;
+};
+struct Redirect {
+  std::string owner;  // empty: nobody known
+};
+struct Problem {
+  std::string message;
+};
+using ReplyBody =
+    std::variant<std::monostate, JobAnswer, Orders, Redirect, Problem>;
+
+struct Reply {
+  RequestId request = 0;
+  int status = 200;
+  ReplyBody body;
+  std::optional<Duration> retry_after;
+};
+struct StateCall {
+  CallId call = 0;
+  StateRequest request;
+  Duration timeout{0};
+};
+struct CloudCall {
+  CallId call = 0;
+  CloudRequest request;
+  Duration timeout{0};
+};
+struct WorkerCall {
+  CallId call = 0;
+  std::string address;
+  WorkerRequest request;
+  Duration timeout{0};
+};
+struct SendHello {
+  PeerHello hello;
+};
+enum class LogLevel : uint8_t { kDebug, kInfo, kWarning, kError };
+struct LogLine {
+  LogLevel level = LogLevel::kInfo;
+  std::string text;
+};
+
+using Effect =
+    std::variant<Reply, StateCall, CloudCall, WorkerCall, SendHello, LogLine>;
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_MESSAGES_H_
--- /dev/null
+++ b/src/core/mirror.h
@@ -0,0 +1,97 @@
+// This process's copy of what the state service holds, kept by watch reads.
+#ifndef PITCHFALL_CORE_MIRROR_H_
+#define PITCHFALL_CORE_MIRROR_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/jobs.h"
+#include "core/messages.h"
+#include "core/records.h"
+
+namespace pitchfall {
+
+// Told of every change of a chunk, with the job still in place, so that users
+// of machines and teams can be counted without looking at everything again.
+class ChunkListener {
+ public:
+  virtual ~ChunkListener() = default;
+  virtual void OnChunk(const Job& job, uint32_t chunk,
+                       const ChunkRecord* before, const ChunkRecord* after) = 0;
+};
+
+class Mirror {
+ public:
+  template <typename T>
+  struct Versioned {
+    T value;
+    uint64_t stamp = 0;
+  };
+  template <typename T>
+  using Table = std::map<std::string, Versioned<T>>;
+
+  // Applies changes in order of revision, or the rows of a list. A change older
+  // than what is here is passed over: replies can overtake each other.
+  void Apply(const Change& change);
+  // Everything up to this revision has been applied.
+  void AdvanceTo(uint64_t revision);
+  // Takes over what a fresh reading found; listeners see the differences as a
+  // removal of all chunks and an arrival of the new ones.
+  void Replace(Mirror fresh);
+
+  uint64_t revision() const { return revision_; }
+
+  const Job* FindJob(const std::string& id) const;
+  // Jobs that are not final, or still have chunks to clear away.
+  const std::map<std::string, Job*>& open_jobs() const { return open_jobs_; }
+
+  const Table<NodeRecord>& nodes() const { return nodes_; }
+  const Table<RentalRecord>& rentals() const { return rentals_; }
+  const Table<TeamRecord>& teams() const { return teams_; }
+  const Versioned<PartRecord>* FindPart(uint32_t part) const;
+  const std::optional<Versioned<TypesRecord>>& types() const { return types_; }
+  const std::optional<Versioned<DrainRecord>>& drain() const { return drain_; }
+  const MachineType* FindType(const std::string& name) const;
+  bool NodeAlive(const PartRecord& owner) const;
+
+  void AddListener(ChunkListener* listener) { listeners_.push_back(listener); }
+  void RemoveListener(ChunkListener* listener) {
+    std::erase(listeners_, listener);
+  }
+
+ private:
+  void ApplyJob(const std::string& id, const Change& change);
+  void ApplyChunk(const std::string& id_and_chunk, const Change& change);
+  void SetChunk(Job& job, uint32_t chunk, std::optional<ChunkRecord> record,
+                uint64_t stamp);
+  void Refresh(Job& job);
+  template <typename T>
+  static void ApplyTo(Table<T>& table, const std::string& name,
+                      const Change& change);
+  template <typename T>
+  static void ApplyTo(std::optional<Versioned<T>>& slot, const Change& change);
+
+  uint64_t revision_ = 0;
+  // Deletions ahead of `revision_`: our own, applied before a reading shows
+  // them. A reading on the way may still bring the key's last value.
+  std::map<std::string, uint64_t> tombstones_;
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+  std::map<std::string, Job*> open_jobs_;
+  Table<NodeRecord> nodes_;
+  Table<PartRecord> parts_;
+  Table<RentalRecord> rentals_;
+  Table<TeamRecord> teams_;
+  std::optional<Versioned<TypesRecord>> types_;
+  std::optional<Versioned<DrainRecord>> drain_;
+  std::vector<ChunkListener*> listeners_;
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_MIRROR_H_
--- /dev/null
+++ b/src/core/outbox.h
@@ -0,0 +1,86 @@
+// Collects the effects of a batch of commands, and routes the replies to
+// outgoing calls back to whoever made them.
+#ifndef PITCHFALL_CORE_OUTBOX_H_
+#define PITCHFALL_CORE_OUTBOX_H_
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/messages.h"
+
+namespace pitchfall {
+
+class Outbox {
+ public:
+  using StateHandler = std::function<void(const StateReply&)>;
+  using CloudHandler = std::function<void(const CloudReply&)>;
+  using WorkerHandler = std::function<void(const WorkerReply&)>;
+
+  void set_now(Now now) { now_ = now; }
+  const Now& now() const { return now_; }
+
+  void Answer(RequestId request, int status, ReplyBody body = {},
+              std::optional<Duration> retry_after = {}) {
+    effects_.push_back(Reply{request, status, std::move(body), retry_after});
+  }
+  // The usual way to say "not now".
+  void Refuse(RequestId request, Duration retry_after) {
+    Answer(request, 503, Problem{"try again later"}, retry_after);
+  }
+
+  void CallState(StateRequest request, Duration timeout, StateHandler handler) {
+    CallId call = ++last_call_;
+    state_handlers_.emplace(call, std::move(handler));
+    effects_.push_back(StateCall{call, std::move(request), timeout});
+  }
+  void CallCloud(CloudRequest request, Duration timeout, CloudHandler handler) {
+    CallId call = ++last_call_;
+    cloud_handlers_.emplace(call, std::move(handler));
+    effects_.push_back(CloudCall{call, std::move(request), timeout});
+  }
+  void CallWorker(std::string address, WorkerRequest request, Duration timeout,
+                  WorkerHandler handler) {
+    CallId call = ++last_call_;
+    worker_handlers_.emplace(call, std::move(handler));
+    effects_.push_back(
+        WorkerCall{call, std::move(address), std::move(request), timeout});
+  }
+  void Send(PeerHello hello) {
+    effects_.push_back(SendHello{std::move(hello)});
+  }
+
+  template <typename... Args>
+  void Log(LogLevel level, fmt::format_string<Args...> text, Args&&... args) {
+    effects_.push_back(
+        LogLine{level, fmt::format(text, std::forward<Args>(args)...)});
+  }
+
+  void Handle(const StateReply& reply) { Route(state_handlers_, reply); }
+  void Handle(const CloudReply& reply) { Route(cloud_handlers_, reply); }
+  void Handle(const WorkerReply& reply) { Route(worker_handlers_, reply); }
+
+  std::vector<Effect> TakeEffects() { return std::exchange(effects_, {}); }
+
+ private:
+  template <typename Map, typename Message>
+  static void Route(Map& handlers, const Message& reply) {
+    auto node = handlers.extract(reply.call);
+    if (!node.empty()) node.mapped()(reply);
+  }
+
+  Now now_;
+  CallId last_call_ = 0;
+  std::vector<Effect> effects_;
+  std::unordered_map<CallId, StateHandler> state_handlers_;
+  std::unordered_map<CallId, CloudHandler> cloud_handlers_;
+  std::unordered_map<CallId, WorkerHandler> worker_handlers_;
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_OUTBOX_H_
--- /dev/null
+++ b/src/core/ownership.h
@@ -0,0 +1,70 @@
+// Membership and the ownership of parts: this controller's leased key, taking
+// over parts whose owner has gone, handing parts back to the controller whose
+// turn it is.
+//
+// Who owns a part is read from the mirror alone. The stamp of a part's key is
+// its token: it rises with every change of owner, and every write of an owner
+// depends on it.
+#ifndef PITCHFALL_CORE_OWNERSHIP_H_
+#define PITCHFALL_CORE_OWNERSHIP_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+
+namespace pitchfall {
+
+class Ownership {
+ public:
+  explicit Ownership(Context& context) : context_(context) {}
+
+  void Step();
+
+  // The part's token if this process owns it.
+  std::optional<uint64_t> TokenOf(uint32_t part) const;
+  // The label of the live owner; empty if none is known.
+  std::string OwnerOf(uint32_t part) const;
+  // Gives a part to another controller, for instance to one that its workers
+  // can still reach.
+  void HandOver(uint32_t part, const std::string& label, bool unreachable);
+
+ private:
+  struct Vacancy {
+    std::optional<SteadyTime> since;
+    bool asking = false;
+    uint64_t mine_stamp = 0;
+    SteadyTime mine_since{};
+  };
+
+  void KeepLease();
+  void Register();
+  void TrackNodes();
+  void ConsiderPart(uint32_t part);
+  void TakeOver(uint32_t part, const Mirror::Versioned<PartRecord>* current);
+  Duration TakeOverDelay(uint32_t part,
+                         const Mirror::Versioned<PartRecord>* current) const;
+  // The controller that should own the part if all live ones are well.
+  std::string IdealOwner(uint32_t part) const;
+  const Mirror::Versioned<NodeRecord>* FindNode(const std::string& label) const;
+  std::string MyKey() const {
+    return keys::Node(context_.deployment.label, context_.life);
+  }
+
+  Context& context_;
+  uint64_t lease_ = 0;
+  bool asking_lease_ = false;
+  bool registering_ = false;
+  SteadyTime next_lease_call_{};
+  SteadyTime next_register_{};
+  std::optional<SteadyTime> registered_at_;
+  std::map<std::string, SteadyTime> alive_since_;  // by label
+  std::map<uint32_t, Vacancy> vacancies_;
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_OWNERSHIP_H_
--- /dev/null
+++ b/src/core/part.cc
@@ -0,0 +1,777 @@
+#include "core/part.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/hash.h"
+
+namespace pitchfall {
+namespace {
+
+constexpr Duration kPlanGap = Millis(30);
+constexpr Duration kIdlePlanGap = Millis(250);
+constexpr Duration kLeaseMargin = Millis(500);
+constexpr Duration kCancelMargin = Millis(2000);
+constexpr Duration kQuarantine = Millis(60000);
+constexpr Duration kAllotmentRest = Millis(1500);
+constexpr int kErrorsToQuarantine = 2;
+// A job that failed on this many machines is taken to be at fault itself.
+constexpr size_t kMachinesToBlameJob = 3;
+
+Duration WithDrift(Duration d) { return d + d / 1000; }
+
+}  // namespace
+
+Part::Part(Context& context, uint32_t number, uint64_t token)
+    : context_(context),
+      number_(number),
+      token_(token),
+      owned_since_(context.now()),
+      last_heard_(context.now()) {
+  for (const auto& [id, job] : context_.mirror.open_jobs()) {
+    for (const auto& [chunk, entry] : job->chunks) {
+      OnChunk(*job, chunk, nullptr, &entry.record);
+    }
+  }
+  adopting_ = false;
+  context_.mirror.AddListener(this);
+  context_.out.Log(LogLevel::kInfo, "event=part_owned part={} token={}",
+                   number_, token_);
+}
+
+Part::~Part() {
+  context_.mirror.RemoveListener(this);
+  for (auto& [name, machine] : machines_) RefuseReport(machine);
+  context_.out.Log(LogLevel::kInfo, "event=part_left part={} token={}", number_,
+                   token_);
+}
+
+Machine& Part::GetMachine(const std::string& name) {
+  Machine& machine = machines_[name];
+  machine.name = name;
+  return machine;
+}
+
+void Part::OnChunk(const Job& job, uint32_t /*chunk*/, const ChunkRecord* before,
+                   const ChunkRecord* after) {
+  dirty_ = true;
+  const JobSpec& spec = job.spec();
+  auto mine = [&](const ChunkRecord* record) {
+    return record != nullptr && record->part == number_;
+  };
+  if (mine(before)) {
+    for (const Assignment& assignment : before->assigned) {
+      if (mine(after) && std::find(after->assigned.begin(),
+                                   after->assigned.end(),
+                                   assignment) != after->assigned.end()) {
+        continue;
+      }
+      Machine& machine = GetMachine(assignment.machine);
+      machine.held.erase({spec.id, assignment.task});
+      machine.used -= spec.need;
+      team_use_[spec.team] -= spec.need;
+    }
+  }
+  if (mine(after)) {
+    for (const Assignment& assignment : after->assigned) {
+      if (mine(before) && std::find(before->assigned.begin(),
+                                    before->assigned.end(),
+                                    assignment) != before->assigned.end()) {
+        continue;
+      }
+      Machine& machine = GetMachine(assignment.machine);
+      HeldTask held;
+      held.job = &job;
+      held.attempt = assignment.attempt;
+      held.inherited = adopting_;
+      machine.held[{spec.id, assignment.task}] = held;
+      machine.used += spec.need;
+      machine.idle_since.reset();
+      team_use_[spec.team] += spec.need;
+    }
+  }
+}
+
+// While the state service is away, cancellations may be stored that this owner
+// does not hear of. A worker answered last now holds its tasks for one more
+// lease; that has to end before a cancellation's time is up.
+bool Part::MayAnswer() const {
+  const Deployment& d = context_.deployment;
+  Duration limit = d.cancel - WithDrift(d.worker_lease) - kCancelMargin;
+  return !superseded_ && context_.follower.Age() < limit;
+}
+
+void Part::RefuseReport(Machine& machine) {
+  if (machine.waiting == 0) return;
+  context_.out.Answer(machine.waiting, 503, Problem{"not entitled to answer"});
+  machine.waiting = 0;
+}
+
+void Part::CheckIn(RequestId request, const WorkerReport& report) {
+  SteadyTime now = context_.now();
+  if (report.token > token_) {
+    // Somebody else owns the part: nothing of mine counts any more.
+    superseded_ = true;
+    context_.follower.Want();
+  }
+  if (!MayAnswer()) {
+    context_.out.Answer(request, 503, Problem{"not entitled to answer"});
+    return;
+  }
+  Machine& machine = GetMachine(report.machine);
+  if (machine.report && std::pair(report.session, report.seq) <=
+                            std::pair(machine.report->session,
+                                      machine.report->seq)) {
+    // Held back on the way; the worker has given it up long ago.
+    context_.out.Answer(request, 503, Problem{"late report"});
+    return;
+  }
+  RefuseReport(machine);
+  if (!machine.report) {
+    context_.out.Log(LogLevel::kInfo,
+                     "event=worker_joined part={} machine={} spot={} zone={} "
+                     "session={}",
+                     number_, report.machine, report.spot, report.zone,
+                     report.session);
+  }
+  machine.report = report;
+  machine.heard = now;
+  last_heard_ = now;
+  machine.gone = false;
+  machine.waiting = request;
+  machine.waiting_since = now;
+  if (report.token == token_ && !machine.token_seen) {
+    machine.token_seen = true;
+    machine.last_answer = now;
+  }
+  UpdateMachine(machine);
+  dirty_ = true;
+}
+
+void Part::UpdateMachine(Machine& machine) {
+  const WorkerReport& report = *machine.report;
+  machine.address = report.address;
+  machine.type = report.type;
+  machine.zone = report.zone;
+  machine.spot = report.spot;
+  if (const MachineType* type = context_.mirror.FindType(report.type)) {
+    machine.capacity = type->capacity;
+  }
+  if (report.notice && !machine.taken_at) {
+    machine.taken_at = machine.heard + *report.notice;
+    context_.out.Log(LogLevel::kInfo,
+                     "event=spot_notice machine={} seconds={:.1f} tasks={}",
+                     machine.name, ToSeconds(*report.notice),
+                     machine.held.size());
+  }
+  machine.stray_use = {};
+  for (const ReportedTask& task : report.tasks) {
+    if (task.state == TaskState::kExited) continue;
+    auto held = machine.held.find({task.job, task.task});
+    if (held != machine.held.end() && held->second.attempt == task.attempt) {
+      held->second.seen = true;
+      held->second.state = task.state;
+      if (task.state != TaskState::kFetching) {
+        machine.images.insert(held->second.job->spec().image);
+      }
+      continue;
+    }
+    const Job* job = context_.mirror.FindJob(task.job);
+    if (job != nullptr) machine.stray_use += job->spec().need;
+  }
+  bool busy = !machine.held.empty() || !report.tasks.empty();
+  if (busy) {
+    machine.idle_since.reset();
+  } else if (!machine.idle_since) {
+    machine.idle_since = machine.heard;
+  }
+}
+
+bool Part::Wanted(const HeldTask& task) const {
+  return !task.job->record.final();
+}
+
+void Part::AnswerReport(Machine& machine) {
+  if (machine.waiting == 0) return;
+  if (!MayAnswer()) {
+    RefuseReport(machine);
+    return;
+  }
+  OrderPolicy policy;
+  policy.token = token_;
+  policy.may_start = context_.follower.Fresh() && machine.token_seen &&
+                     machine.TakesTasks(context_.now());
+  policy.wanted = [this](const HeldTask& task) { return Wanted(task); };
+  Orders orders{token_, MakeOrders(machine, policy)};
+  context_.out.Answer(machine.waiting, 200, std::move(orders));
+  machine.waiting = 0;
+  machine.last_answer = context_.now();
+}
+
+void Part::AnswerReports(SteadyTime before) {
+  for (auto& [name, machine] : machines_) {
+    if (machine.waiting != 0 && machine.waiting_since <= before) {
+      AnswerReport(machine);
+    }
+  }
+}
+
+void Part::Step() {
+  SteadyTime now = context_.now();
+  for (auto& [name, machine] : machines_) {
+    if (machine.waiting != 0 &&
+        now - machine.waiting_since > context_.tuning.hold_report) {
+      AnswerReport(machine);
+    }
+  }
+  CheckMachines();
+  DeleteMachines();
+  if (storing_ || now < next_plan_) return;
+  if (!dirty_ && now - next_plan_ < kIdlePlanGap) return;
+  if (!context_.follower.Fresh()) {
+    AnswerReports(now);
+    next_plan_ = now + kPlanGap;
+    return;
+  }
+  if (outcome_unknown_) {
+    RaiseFence();
+    return;
+  }
+  Plan();
+}
+
+void Part::CheckMachines() {
+  SteadyTime now = context_.now();
+  Duration lease = WithDrift(context_.deployment.worker_lease) + kLeaseMargin;
+  const auto& drain = context_.mirror.drain();
+  for (auto it = machines_.begin(); it != machines_.end();) {
+    Machine& machine = it->second;
+    if (drain && !machine.drain &&
+        std::find(drain->value.machines.begin(), drain->value.machines.end(),
+                  machine.name) != drain->value.machines.end()) {
+      machine.drain = true;
+      dirty_ = true;
+      context_.out.Log(LogLevel::kInfo, "event=drain machine={} tasks={}",
+                       machine.name, machine.held.size());
+    }
+    if (!machine.gone && machine.token_seen && machine.waiting == 0 &&
+        now - machine.last_answer > lease) {
+      machine.gone = true;
+      dirty_ = true;
+      context_.out.Log(LogLevel::kWarning,
+                       "event=worker_lost machine={} proof=lease tasks={}",
+                       machine.name, machine.held.size());
+    }
+    if (machine.taken_at) {
+      // Save what can be saved before the machine is taken.
+      Duration left = *machine.taken_at - now;
+      for (auto& [key, task] : machine.held) {
+        const JobSpec& spec = task.job->spec();
+        if (!task.stop && spec.checkpoint.count() > 0 &&
+            left < spec.save + 2 * context_.deployment.report + Millis(2000)) {
+          task.stop = true;
+        }
+      }
+    }
+    if (machine.gone && machine.deleting && machine.held.empty()) {
+      it = machines_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void Part::DeleteMachines() {
+  SteadyTime now = context_.now();
+  if (deleting_ || now < next_delete_ || machines_.empty()) return;
+  next_delete_ = now + Millis(500);
+  Duration report = context_.deployment.report;
+  Duration lease = context_.deployment.worker_lease;
+  auto silence = [&](const Machine& machine) {
+    return now - std::max(machine.heard, owned_since_);
+  };
+  size_t heard = 0;
+  size_t silent = 0;
+  for (const auto& [name, machine] : machines_) {
+    (silence(machine) < 2 * report ? heard : silent) += 1;
+  }
+  // If most have fallen silent at once it is more likely the network.
+  bool believable = heard >= silent;
+  std::vector<std::string> names;
+  for (auto& [name, machine] : machines_) {
+    if (names.size() >= 100) break;
+    bool unheard = !machine.report;
+    bool lost = (believable && silence(machine) >
+                                   (unheard ? lease : 3 * report + Millis(2000))) ||
+                silence(machine) > 3 * lease;
+    bool empty = machine.report && machine.drain && machine.held.empty() &&
+                 machine.waiting == 0 && machine.report->tasks.empty();
+    if (!lost && !empty && !machine.deleting) continue;
+    if (!machine.deleting) {
+      context_.out.Log(LogLevel::kInfo,
+                       "event=delete machine={} reason={} tasks={}", name,
+                       lost ? "silent" : "drained", machine.held.size());
+    }
+    machine.deleting = true;
+    names.push_back(name);
+  }
+  if (names.empty() || !context_.cloud.Take(now, 1)) return;
+  deleting_ = true;
+  pitchfall::DeleteMachines request{names};
+  context_.out.CallCloud(
+      std::move(request), context_.tuning.cloud_timeout,
+      [this, names, alive = std::weak_ptr<int>(alive_)](
+          const CloudReply& reply) {
+        if (alive.expired()) return;
+        deleting_ = false;
+        next_delete_ = context_.now() + Millis(reply.status == 200 ? 300 : 2000);
+        if (reply.status != 200) return;
+        for (const std::string& name : names) {
+          auto machine = machines_.find(name);
+          if (machine == machines_.end()) continue;
+          RefuseReport(machine->second);
+          machine->second.gone = true;
+        }
+        dirty_ = true;
+      });
+}
+
+// ---- Planning ----
+
+TeamRecord Part::TeamOf(const Draft& draft, const std::string& name) const {
+  TeamRecord record;
+  auto drafted = draft.teams.find(name);
+  if (drafted != draft.teams.end()) {
+    record = drafted->second;
+  } else {
+    auto stored = context_.mirror.teams().find(name);
+    if (stored != context_.mirror.teams().end()) record = stored->second.value;
+  }
+  record.parts.resize(std::max<size_t>(record.parts.size(), context_.parts));
+  return record;
+}
+
+Part::Draft::ChunkChange* Part::Touch(Draft& draft, const Job& job,
+                                      uint32_t chunk) {
+  ChunkKey key{job.spec().id, chunk};
+  auto it = draft.chunks.find(key);
+  if (it != draft.chunks.end()) return &it->second;
+  if (draft.size() >= draft_limit_) return nullptr;
+  Draft::ChunkChange change;
+  change.job = &job;
+  change.record.part = number_;
+  if (const Job::Chunk* stored = job.FindChunk(chunk)) {
+    change.record = stored->record;
+    change.stamp = stored->stamp;
+  }
+  return &draft.chunks.emplace(key, std::move(change)).first->second;
+}
+
+void Part::DraftEnds(Draft& draft) {
+  SteadyTime now = context_.now();
+  for (auto& [name, machine] : machines_) {
+    if (!machine.report && !machine.gone) continue;
+    bool open = machine.TakesTasks(now);
+    for (auto& [key, task] : machine.held) {
+      bool wanted = Wanted(task) && !task.stop && open;
+      Verdict verdict = Judge(machine, key, task, token_, wanted);
+      if (verdict == Verdict::kHeld) continue;
+      const Job& job = *task.job;
+      Draft::ChunkChange* change = Touch(draft, job, job.chunk_of(key.second));
+      if (change == nullptr) return;
+      std::erase_if(change->record.assigned, [&](const Assignment& a) {
+        return a.task == key.second && a.attempt == task.attempt &&
+               a.machine == name;
+      });
+      if (verdict == Verdict::kDone) {
+        AddTask(change->record.done, key.second);
+        draft.successes.push_back({name, key.first});
+      } else if (verdict == Verdict::kFailed) {
+        draft.failures.push_back({name, key.first});
+      } else if (verdict == Verdict::kRefused) {
+        draft.refusals.push_back({name, key.first});
+      }
+      machine.planned -= job.spec().need;
+      team_planned_[job.spec().team] -= job.spec().need;
+    }
+  }
+}
+
+void Part::DraftFinishedJobs(Draft& draft) {
+  auto consider = [&](const Job& job) {
+    if (job.record.final() || draft.done_jobs.contains(job.spec().id)) return;
+    int64_t done = job.done;
+    for (auto it = draft.chunks.lower_bound({job.spec().id, 0});
+         it != draft.chunks.end() && it->first.first == job.spec().id; ++it) {
+      const Job::Chunk* stored = job.FindChunk(it->first.second);
+      done += CountTasks(it->second.record.done);
+      if (stored != nullptr) done -= CountTasks(stored->record.done);
+    }
+    if (done < job.spec().tasks || draft.size() >= draft_limit_) return;
+    draft.done_jobs.insert(job.spec().id);
+    for (auto it = draft.chunks.lower_bound({job.spec().id, 0});
+         it != draft.chunks.end() && it->first.first == job.spec().id; ++it) {
+      // With the job over, an empty chunk tells nothing more.
+      if (it->second.record.assigned.empty()) it->second.drop = true;
+    }
+  };
+  std::set<const Job*> touched;
+  for (const auto& [key, change] : draft.chunks) touched.insert(change.job);
+  for (const Job* job : touched) consider(*job);
+  // Two parts may have finished their last chunks at the same moment, neither
+  // seeing the other's.
+  for (const auto& [id, job] : context_.mirror.open_jobs()) {
+    if (job->done >= job->spec().tasks) consider(*job);
+  }
+}
+
+void Part::DraftCleanUp(Draft& draft) {
+  for (const auto& [id, job] : context_.mirror.open_jobs()) {
+    if (!job->record.final()) continue;
+    for (const auto& [number, chunk] : job->chunks) {
+      if (chunk.record.part != number_) continue;
+      auto drafted = draft.chunks.find({id, number});
+      const ChunkRecord& record =
+          drafted == draft.chunks.end() ? chunk.record : drafted->second.record;
+      if (!record.assigned.empty()) continue;
+      Draft::ChunkChange* change = Touch(draft, *job, number);
+      if (change == nullptr) return;
+      change->drop = true;
+    }
+  }
+}
+
+bool Part::AllotTeam(Draft& draft, const JobSpec& spec) {
+  auto found = context_.deployment.teams.find(spec.team);
+  if (found == context_.deployment.teams.end()) return false;
+  const Team& team = found->second;
+  if (team.cpus_limit == 0 && team.gpus_limit == 0) return true;
+  Resources use = team_use_[spec.team] + team_planned_[spec.team] + spec.need;
+  TeamRecord record = TeamOf(draft, spec.team);
+  TeamRecord::Allotment& mine = record.parts[number_];
+  if (use.cpus <= mine.cpus && use.gpus <= mine.gpus) return true;
+  mine.cpus = std::max(mine.cpus, use.cpus);
+  mine.gpus = std::max(mine.gpus, use.gpus);
+  int64_t cpus = 0;
+  int64_t gpus = 0;
+  for (const TeamRecord::Allotment& allotment : record.parts) {
+    cpus += allotment.cpus;
+    gpus += allotment.gpus;
+  }
+  if (team.cpus_limit > 0 && cpus > team.cpus_limit) return false;
+  if (team.gpus_limit > 0 && gpus > team.gpus_limit) return false;
+  if (!draft.teams.contains(spec.team) && draft.size() >= draft_limit_) {
+    return false;
+  }
+  draft.teams[spec.team] = std::move(record);
+  return true;
+}
+
+void Part::DraftGiveBack(Draft& draft) {
+  SteadyTime now = context_.now();
+  for (const auto& [name, stored] : context_.mirror.teams()) {
+    if (stored.value.parts.size() <= number_) continue;
+    TeamRecord record = TeamOf(draft, name);
+    Resources use = team_use_[name] + team_planned_[name];
+    TeamRecord::Allotment& mine = record.parts[number_];
+    if (mine.cpus <= use.cpus && mine.gpus <= use.gpus) {
+      allotment_unused_since_.erase(name);
+      continue;
+    }
+    SteadyTime since = allotment_unused_since_.emplace(name, now).first->second;
+    if (now - since < kAllotmentRest) continue;
+    if (!draft.teams.contains(name) && draft.size() >= draft_limit_) return;
+    mine.cpus = std::min(mine.cpus, use.cpus);
+    mine.gpus = std::min(mine.gpus, use.gpus);
+    draft.teams[name] = std::move(record);
+  }
+}
+
+bool Part::StartsInChunk(Draft& draft, const Job& job, uint32_t chunk,
+                         ZoneUse& use, const std::vector<Machine*>& open) {
+  const JobSpec& spec = job.spec();
+  const Job::Chunk* stored = job.FindChunk(chunk);
+  auto drafted = draft.chunks.find({spec.id, chunk});
+  ChunkRecord record;
+  if (drafted != draft.chunks.end()) {
+    record = drafted->second.record;
+  } else if (stored != nullptr) {
+    record = stored->record;
+  }
+  TaskSet taken = record.done;
+  for (const Assignment& assignment : record.assigned) {
+    AddTask(taken, assignment.task);
+  }
+  uint32_t attempt = record.next_attempt;
+  Draft::ChunkChange* change = nullptr;
+  for (uint32_t task = job.chunk_begin(chunk); task < job.chunk_end(chunk);
+       ++task) {
+    if (HasTask(taken, task)) continue;
+    Machine* machine = ChooseMachine(spec, use, open);
+    if (machine == nullptr) return false;
+    if (change == nullptr) {
+      change = Touch(draft, job, chunk);
+      if (change == nullptr) return false;
+    }
+    if (!AllotTeam(draft, spec)) {
+      // Nothing was added: leave the chunk as it was.
+      if (change->record.next_attempt == attempt && drafted == draft.chunks.end()) {
+        draft.chunks.erase({spec.id, chunk});
+      }
+      return false;
+    }
+    change->record.assigned.push_back({task, attempt, machine->name});
+    change->record.next_attempt = attempt + 1;
+    change->starts = true;
+    machine->planned += spec.need;
+    team_planned_[spec.team] += spec.need;
+    use.tasks[machine->zone] += 1;
+    use.total += 1;
+    draft.starts += 1;
+  }
+  return true;
+}
+
+void Part::DraftStarts(Draft& draft) {
+  SteadyTime now = context_.now();
+  std::vector<Machine*> open;
+  for (auto& [name, machine] : machines_) {
+    if (machine.TakesTasks(now)) open.push_back(&machine);
+  }
+  std::vector<const Job*> jobs = OrderJobs(context_.mirror, context_.deployment);
+  std::map<std::string, SteadyTime> waiting;
+  for (const Job* job : jobs) {
+    const JobSpec& spec = job->spec();
+    if (job->done + job->assigned >= spec.tasks) {
+      bool touched = draft.chunks.lower_bound({spec.id, 0}) !=
+                         draft.chunks.end() &&
+                     draft.chunks.lower_bound({spec.id, 0})->first.first ==
+                         spec.id;
+      if (!touched) continue;
+    }
+    auto since = waiting_since_.find(spec.id);
+    waiting[spec.id] = since == waiting_since_.end() ? now : since->second;
+    bool overdue = now - waiting[spec.id] >= context_.tuning.claim_delay;
+    auto health = job_health_.find(spec.id);
+    if (health != job_health_.end() && now < health->second.retry_at) continue;
+    if (open.empty() || draft.size() >= draft_limit_) continue;
+    ZoneUse use;
+    bool zones_known = true;
+    if (spec.one_zone || spec.spread) {
+      for (const auto& [number, chunk] : job->chunks) {
+        for (const Assignment& assignment : chunk.record.assigned) {
+          auto machine = machines_.find(assignment.machine);
+          if (machine == machines_.end() || machine->second.zone.empty()) {
+            zones_known = false;
+            break;
+          }
+          use.tasks[machine->second.zone] += 1;
+          use.total += 1;
+        }
+      }
+      // Two parts must not decide about such a job at the same time.
+      if (job->record.chunk_count() > 1 && job->record.home != number_) continue;
+    }
+    if (!zones_known) continue;
+    for (uint32_t chunk = 0; chunk < job->record.chunk_count(); ++chunk) {
+      const Job::Chunk* stored = job->FindChunk(chunk);
+      if (stored != nullptr) {
+        if (stored->record.part != number_) continue;
+      } else if (job->home_of(chunk, context_.parts) != number_ && !overdue) {
+        continue;
+      }
+      if (!StartsInChunk(draft, *job, chunk, use, open)) break;
+    }
+  }
+  waiting_since_ = std::move(waiting);
+}
+
+Transaction Part::MakeTransaction(const Draft& draft) const {
+  Transaction txn;
+  txn.conditions.push_back({keys::Part(number_), token_});
+  txn.conditions.push_back({keys::Fence(number_, token_), fence_});
+  std::map<std::string, uint64_t> jobs;
+  for (const auto& [key, change] : draft.chunks) {
+    std::string name = keys::Chunk(key.first, key.second);
+    txn.conditions.push_back({name, change.stamp});
+    // A start must not be stored after a cancellation.
+    if (change.starts) jobs[key.first] = change.job->stamp;
+    Write write{name, {}, 0};
+    if (!change.drop) write.value = change.record;
+    txn.writes.push_back(std::move(write));
+  }
+  for (const std::string& id : draft.done_jobs) {
+    const Job* job = context_.mirror.FindJob(id);
+    jobs[id] = job->stamp;
+    JobRecord record = job->record;
+    record.state = JobState::kDone;
+    txn.writes.push_back({keys::Job(id), std::move(record), 0});
+  }
+  for (const auto& [id, stamp] : jobs) {
+    txn.conditions.push_back({keys::Job(id), stamp});
+  }
+  for (const auto& [name, record] : draft.teams) {
+    auto stored = context_.mirror.teams().find(name);
+    txn.conditions.push_back(
+        {keys::Team(name),
+         stored == context_.mirror.teams().end() ? 0 : stored->second.stamp});
+    txn.writes.push_back({keys::Team(name), record, 0});
+  }
+  return txn;
+}
+
+void Part::Plan() {
+  SteadyTime now = context_.now();
+  next_plan_ = now + kPlanGap;
+  dirty_ = false;
+  for (auto& [name, machine] : machines_) machine.planned = {};
+  team_planned_.clear();
+  Draft draft;
+  draft_limit_ = static_cast<size_t>(
+      std::clamp<double>(std::floor(context_.writes.Available(now)), 0.0,
+                         static_cast<double>(context_.deployment.txn_ops)));
+  if (draft_limit_ > 0) {
+    DraftEnds(draft);
+    DraftFinishedJobs(draft);
+    DraftStarts(draft);
+    DraftCleanUp(draft);
+    DraftGiveBack(draft);
+  }
+  if (draft.size() == 0) {
+    AnswerReports(now);
+    return;
+  }
+  context_.writes.Take(now, static_cast<double>(draft.size()));
+  context_.requests.Take(now, 1, -1e9);
+  Transaction txn = MakeTransaction(draft);
+  storing_ = true;
+  context_.out.CallState(
+      txn, context_.tuning.state_timeout,
+      [this, draft = std::move(draft), txn, now,
+       alive = std::weak_ptr<int>(alive_)](const StateReply& reply) {
+        if (!alive.expired()) OnStored(draft, txn, now, reply);
+      });
+}
+
+void Part::OnStored(const Draft& draft, const Transaction& txn,
+                    SteadyTime started, const StateReply& reply) {
+  storing_ = false;
+  dirty_ = true;
+  SteadyTime now = context_.now();
+  for (auto& [name, machine] : machines_) machine.planned = {};
+  team_planned_.clear();
+  if (reply.status == 200) {
+    for (const Write& write : txn.writes) {
+      context_.mirror.Apply({write.key, write.value, reply.revision});
+    }
+    Remember(draft);
+    AnswerReports(started);
+    return;
+  }
+  if (reply.status == 429 || reply.status == 503) {
+    // Not carried out.
+    if (reply.status == 429) context_.writes.Drain(now);
+    next_plan_ = now + Millis(150);
+    return;
+  }
+  if (reply.status != 409) {
+    outcome_unknown_ = true;
+    context_.out.Log(LogLevel::kWarning,
+                     "event=write_unknown part={} status={} writes={}", number_,
+                     reply.status, txn.writes.size());
+  }
+  for (const std::string& key : reply.failed) {
+    // A fence whose own answer was lost.
+    if (key == keys::Fence(number_, token_)) outcome_unknown_ = true;
+  }
+  // Find out what holds now before going on.
+  storing_ = true;
+  context_.follower.AfterRead(
+      [this, alive = std::weak_ptr<int>(alive_)](bool) {
+        if (!alive.expired()) storing_ = false;
+      });
+}
+
+// A write got no answer. Reading shows whether it has been carried out, but not
+// that it never will be: a late copy would add starts to room and allotments
+// that have been given to others by then. Every write depends on the fence, so
+// once that has changed no earlier one can come through.
+void Part::RaiseFence() {
+  SteadyTime now = context_.now();
+  if (!context_.writes.Take(now, 1)) return;
+  context_.requests.Take(now, 1, -1e9);
+  storing_ = true;
+  Transaction txn;
+  txn.conditions.push_back({keys::Part(number_), token_});
+  txn.writes.push_back(
+      {keys::Fence(number_, token_),
+       PartRecord{context_.deployment.label, context_.life}, 0});
+  context_.out.CallState(
+      std::move(txn), context_.tuning.state_timeout,
+      [this, alive = std::weak_ptr<int>(alive_)](const StateReply& reply) {
+        if (alive.expired()) return;
+        next_plan_ = context_.now() + Millis(reply.status == 200 ? 0 : 150);
+        if (reply.status == 200) {
+          fence_ = reply.revision;
+          outcome_unknown_ = false;
+        }
+        // What the lost write did, if it was carried out before the fence.
+        context_.follower.AfterRead(
+            [this, alive = std::weak_ptr<int>(alive_)](bool ok) {
+              if (alive.expired()) return;
+              storing_ = false;
+              if (!ok) outcome_unknown_ = true;
+            });
+      });
+}
+
+void Part::Remember(const Draft& draft) {
+  SteadyTime now = context_.now();
+  for (const auto& [name, job] : draft.successes) {
+    auto machine = machines_.find(name);
+    if (machine != machines_.end()) machine->second.errors_in_a_row = 0;
+    job_health_.erase(job);
+  }
+  for (const auto& [name, job] : draft.failures) {
+    JobHealth& health = job_health_[job];
+    health.failed_on.insert(name);
+    health.failures += 1;
+    bool job_at_fault = health.failed_on.size() >= kMachinesToBlameJob;
+    if (job_at_fault) {
+      double wait = std::min(60.0, 2.0 * std::pow(1.5, health.failures));
+      health.retry_at = now + Seconds(wait);
+    }
+    auto found = machines_.find(name);
+    if (found == machines_.end() || job_at_fault) continue;
+    Machine& machine = found->second;
+    machine.errors_in_a_row += 1;
+    if (machine.errors_in_a_row < kErrorsToQuarantine) continue;
+    if (now >= machine.quarantined_until) {
+      context_.out.Log(LogLevel::kWarning,
+                       "event=quarantine machine={} errors={}", name,
+                       machine.errors_in_a_row);
+    }
+    machine.quarantined_until = now + kQuarantine;
+  }
+  for (const auto& [name, job] : draft.refusals) {
+    // What the worker holds and what is stored differ for a moment.
+    auto found = machines_.find(name);
+    if (found == machines_.end()) continue;
+    found->second.quarantined_until =
+        std::max(found->second.quarantined_until, now + Millis(2000));
+    context_.out.Log(LogLevel::kInfo, "event=start_refused machine={} job={}",
+                     name, job);
+  }
+}
+
+int64_t Part::FreeCpus() const {
+  int64_t free = 0;
+  for (const auto& [name, machine] : machines_) {
+    if (machine.TakesTasks(context_.now())) {
+      free += std::max<int64_t>(0, machine.Free().cpus);
+    }
+  }
+  return free;
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/part.h
@@ -0,0 +1,138 @@
+// One part of the cluster as its owner runs it: the machines that hash into it,
+// the chunks of jobs that it has claimed.
+//
+// Everything is decided by comparing what is stored with the machines' newest
+// reports. One transaction at a time carries the outcome: ends, new
+// assignments, finished jobs; it depends on the part's token and on the stamps
+// of all that it was computed from. Reports are answered after it, so that
+// starts and forgets follow what is stored.
+#ifndef PITCHFALL_CORE_PART_H_
+#define PITCHFALL_CORE_PART_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/context.h"
+#include "core/machines.h"
+#include "core/placement.h"
+
+namespace pitchfall {
+
+class Part : public ChunkListener {
+ public:
+  Part(Context& context, uint32_t number, uint64_t token);
+  ~Part() override;
+  Part(const Part&) = delete;
+  Part& operator=(const Part&) = delete;
+
+  void CheckIn(RequestId request, const WorkerReport& report);
+  void Step();
+
+  void OnChunk(const Job& job, uint32_t chunk, const ChunkRecord* before,
+               const ChunkRecord* after) override;
+
+  uint32_t number() const { return number_; }
+  uint64_t token() const { return token_; }
+  const std::map<std::string, Machine>& machines() const { return machines_; }
+  int64_t FreeCpus() const;
+  // Since when no worker has been heard; owners that their workers cannot
+  // reach give the part away.
+  SteadyTime last_heard() const { return last_heard_; }
+
+ private:
+  using ChunkKey = std::pair<std::string, uint32_t>;
+
+  // Changes to be stored together.
+  struct Draft {
+    struct ChunkChange {
+      const Job* job = nullptr;
+      uint64_t stamp = 0;
+      ChunkRecord record;
+      bool drop = false;
+      bool starts = false;
+    };
+    std::map<ChunkKey, ChunkChange> chunks;
+    std::map<std::string, TeamRecord> teams;
+    std::set<std::string> done_jobs;
+    // What to remember of machines and jobs once it is stored.
+    std::vector<std::pair<std::string, std::string>> failures;  // machine, job
+    std::vector<std::pair<std::string, std::string>> successes;
+    std::vector<std::pair<std::string, std::string>> refusals;
+    size_t starts = 0;
+    size_t size() const {
+      return chunks.size() + teams.size() + done_jobs.size();
+    }
+  };
+
+  size_t draft_limit_ = 0;
+
+  struct JobHealth {
+    std::set<std::string> failed_on;
+    int failures = 0;
+    SteadyTime retry_at{};
+  };
+
+  Machine& GetMachine(const std::string& name);
+  void UpdateMachine(Machine& machine);
+  bool Wanted(const HeldTask& task) const;
+  bool MayAnswer() const;
+  void AnswerReport(Machine& machine);
+  void AnswerReports(SteadyTime before);
+  void RefuseReport(Machine& machine);
+
+  void CheckMachines();
+  void DeleteMachines();
+
+  void Plan();
+  void RaiseFence();
+  Draft::ChunkChange* Touch(Draft& draft, const Job& job, uint32_t chunk);
+  void DraftEnds(Draft& draft);
+  void DraftFinishedJobs(Draft& draft);
+  void DraftStarts(Draft& draft);
+  void DraftCleanUp(Draft& draft);
+  void DraftGiveBack(Draft& draft);
+  bool StartsInChunk(Draft& draft, const Job& job, uint32_t chunk,
+                     ZoneUse& use, const std::vector<Machine*>& open);
+  bool AllotTeam(Draft& draft, const JobSpec& spec);
+  TeamRecord TeamOf(const Draft& draft, const std::string& name) const;
+  Transaction MakeTransaction(const Draft& draft) const;
+  void OnStored(const Draft& draft, const Transaction& txn,
+                SteadyTime started, const StateReply& reply);
+
+  void Remember(const Draft& draft);
+
+  Context& context_;
+  // Replies that come after this part was given away find it expired.
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+  const uint32_t number_;
+  const uint64_t token_;
+  bool adopting_ = true;  // while the chunks of earlier owners are read in
+  bool superseded_ = false;
+  SteadyTime owned_since_;
+  SteadyTime last_heard_;
+
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, Resources> team_use_;  // by what this part holds
+  std::map<std::string, Resources> team_planned_;
+  std::map<std::string, JobHealth> job_health_;
+  std::map<std::string, SteadyTime> waiting_since_;  // by job
+  std::map<std::string, SteadyTime> allotment_unused_since_;
+
+  uint64_t fence_ = 0;  // stamp of this ownership's fence key
+  bool outcome_unknown_ = false;
+  bool storing_ = false;
+  bool dirty_ = true;
+  SteadyTime next_plan_{};
+  bool deleting_ = false;
+  SteadyTime next_delete_{};
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_PART_H_
--- /dev/null
+++ b/src/core/placement.cc
@@ -0,0 +1,76 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace pitchfall {
+
+std::vector<const Job*> OrderJobs(const Mirror& mirror,
+                                  const Deployment& deployment) {
+  std::vector<const Job*> jobs;
+  for (const auto& [id, job] : mirror.open_jobs()) {
+    if (!job->record.final()) jobs.push_back(job);
+  }
+  // A team's jobs are within its guarantee, oldest first, as long as they all
+  // fit into it together.
+  std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+    return std::pair(a->record.submitted, a->spec().id) <
+           std::pair(b->record.submitted, b->spec().id);
+  });
+  std::map<std::string, int64_t> used;
+  std::vector<std::pair<JobRank, const Job*>> ranked;
+  ranked.reserve(jobs.size());
+  for (const Job* job : jobs) {
+    const JobSpec& spec = job->spec();
+    auto team = deployment.teams.find(spec.team);
+    int64_t& cpus = used[spec.team];
+    cpus += spec.need.cpus * static_cast<int64_t>(spec.tasks);
+    bool guaranteed =
+        team != deployment.teams.end() && cpus <= team->second.cpus_guaranteed;
+    int64_t submitted = job->record.submitted.time_since_epoch().count();
+    int64_t due = spec.deadline ? submitted + spec.deadline->count()
+                                : std::numeric_limits<int64_t>::max();
+    ranked.push_back({JobRank{guaranteed ? 0 : 1,
+                              -static_cast<int>(spec.priority), due, submitted},
+                      job});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+    if (a.first != b.first) return a.first < b.first;
+    return a.second->spec().id < b.second->spec().id;
+  });
+  jobs.clear();
+  for (const auto& [rank, job] : ranked) jobs.push_back(job);
+  return jobs;
+}
+
+bool Allowed(const JobSpec& spec, const Machine& machine, const ZoneUse& use) {
+  if (machine.spot && !spec.spot) return false;
+  if (!spec.zone.empty() && spec.zone != machine.zone) return false;
+  if (!spec.AllowsType(machine.type)) return false;
+  auto here = use.tasks.find(machine.zone);
+  uint32_t count = here == use.tasks.end() ? 0 : here->second;
+  if (spec.one_zone && use.total > count) return false;
+  if (spec.spread && count + 1 > (spec.tasks + 1) / 2) return false;
+  return true;
+}
+
+Machine* ChooseMachine(const JobSpec& spec, const ZoneUse& use,
+                       const std::vector<Machine*>& machines) {
+  Machine* best = nullptr;
+  std::tuple<int, int64_t> best_score;
+  for (Machine* machine : machines) {
+    Resources free = machine->Free();
+    if (!spec.need.FitsIn(free)) continue;
+    if (!Allowed(spec, *machine, use)) continue;
+    std::tuple<int, int64_t> score{machine->images.contains(spec.image) ? 0 : 1,
+                                   free.cpus};
+    if (best == nullptr || score < best_score) {
+      best = machine;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/placement.h
@@ -0,0 +1,45 @@
+// Which waiting job goes first, and on which machine a task goes.
+#ifndef PITCHFALL_CORE_PLACEMENT_H_
+#define PITCHFALL_CORE_PLACEMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "core/jobs.h"
+#include "core/machines.h"
+#include "core/mirror.h"
+#include "core/settings.h"
+#include "core/time.h"
+
+namespace pitchfall {
+
+// Smaller goes first: guarantee, priority, deadline, age.
+using JobRank = std::tuple<int, int, int64_t, int64_t>;
+
+// All open jobs in the order in which they should get room.
+std::vector<const Job*> OrderJobs(const Mirror& mirror,
+                                  const Deployment& deployment);
+
+// Where the tasks of one job are at this moment, for jobs that must stay in one
+// zone or be spread over zones.
+struct ZoneUse {
+  std::map<std::string, uint32_t> tasks;
+  uint32_t total = 0;
+};
+
+// Whether the job's rules allow one more of its tasks on this machine, given
+// where its other tasks are.
+bool Allowed(const JobSpec& spec, const Machine& machine, const ZoneUse& use);
+
+// The best machine with room for one task among `machines`, or null. Machines
+// that have the image come first, then the fullest, so that others run empty
+// and can be returned.
+Machine* ChooseMachine(const JobSpec& spec, const ZoneUse& use,
+                       const std::vector<Machine*>& machines);
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_PLACEMENT_H_
--- /dev/null
+++ b/src/core/records.h
@@ -0,0 +1,188 @@
+// What pitchfall keeps in the state service. These records are the truth; all
+// that a process holds besides is a cache of them or can be learned again.
+#ifndef PITCHFALL_CORE_RECORDS_H_
+#define PITCHFALL_CORE_RECORDS_H_
+
+#include <algorithm>
+#include <boost/icl/interval_set.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/resources.h"
+#include "core/time.h"
+
+namespace pitchfall {
+
+// Sets of task numbers, kept as ranges.
+using TaskSet = boost::icl::interval_set<uint32_t>;
+
+inline void AddTask(TaskSet& set, uint32_t task) {
+  set += TaskSet::interval_type::right_open(task, task + 1);
+}
+inline bool HasTask(const TaskSet& set, uint32_t task) {
+  return boost::icl::contains(set, task);
+}
+inline uint32_t CountTasks(const TaskSet& set) {
+  return static_cast<uint32_t>(boost::icl::cardinality(set));
+}
+
+enum class Priority : uint8_t { kLow = 0, kNormal, kHigh, kProduction };
+
+// A job as its user described it.
+struct JobSpec {
+  std::string id;
+  std::string job_class;
+  std::string team;
+  Priority priority = Priority::kNormal;
+  uint32_t tasks = 0;
+  Resources need;
+  std::string image;
+  double image_gb = 0;
+  std::optional<std::vector<std::string>> types;  // none: any
+  std::string zone;                // empty: any
+  bool one_zone = false;
+  bool spread = false;
+  bool spot = false;
+  Duration estimate{0};
+  Duration checkpoint{0};
+  Duration save{0};
+  std::optional<Duration> deadline;
+
+  bool AllowsType(const std::string& type) const {
+    return !types ||
+           std::find(types->begin(), types->end(), type) != types->end();
+  }
+};
+
+enum class JobState : uint8_t { kAccepted = 0, kDone, kCancelled };
+
+struct JobRecord {
+  JobSpec spec;
+  JobState state = JobState::kAccepted;
+  WallTime submitted;
+  uint32_t chunk_size = 8;  // tasks in one ChunkRecord
+  uint32_t home = 0;        // part that takes the first chunk
+  uint32_t spread_over = 1;  // parts that take chunks in turn, from `home` on
+
+  bool final() const { return state != JobState::kAccepted; }
+  uint32_t chunk_count() const {
+    return (spec.tasks + chunk_size - 1) / chunk_size;
+  }
+};
+
+// A try of a task bound to a machine, from before its start is sent until it is
+// proven to be gone.
+struct Assignment {
+  uint32_t task = 0;
+  uint32_t attempt = 0;
+  std::string machine;
+  friend bool operator==(const Assignment&, const Assignment&) = default;
+};
+
+// The tasks [n * chunk_size, (n + 1) * chunk_size) of a job. A chunk has no
+// record until a part claims it, which is when its first task is assigned.
+struct ChunkRecord {
+  uint32_t part = 0;
+  TaskSet done;
+  std::vector<Assignment> assigned;
+  uint32_t next_attempt = 1;
+};
+
+// A live controller process; its key hangs on a lease.
+struct NodeRecord {
+  std::string label;
+  std::string life;
+};
+
+// Names the owner of a part. The stamp of this key is the part's token.
+struct PartRecord {
+  std::string label;
+  std::string life;
+  // The owner before, if it gave the part up because its workers could not
+  // reach it: it should not get it back at once.
+  std::string shunned;
+};
+
+// A rental request, stored before it is sent.
+struct RentalRecord {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  uint32_t count = 0;
+  WallTime asked;
+  std::vector<std::string> machines;  // once the cloud has answered
+};
+
+// How much of a limited team's room each part may use. The sum stays within
+// the team's limit; a part gives back only what no task of its can hold.
+struct TeamRecord {
+  struct Allotment {
+    int64_t cpus = 0;
+    int64_t gpus = 0;
+    friend bool operator==(const Allotment&, const Allotment&) = default;
+  };
+  std::vector<Allotment> parts;
+};
+
+// Machines that the leader wants returned; the parts' owners empty and delete
+// them.
+struct DrainRecord {
+  std::vector<std::string> machines;
+};
+
+struct MachineType {
+  std::string name;
+  Resources capacity;
+  double cache_gb = 0;
+  double fetch_gb_per_s = 0;
+  double price = 0;       // an hour
+  double spot_price = 0;  // an hour
+  Duration boot{0};
+  std::vector<std::string> zones;
+  friend bool operator==(const MachineType&, const MachineType&) = default;
+};
+
+// The cloud's machine types, so that a restarted controller can judge
+// submissions while the cloud's interface is down.
+struct TypesRecord {
+  std::vector<MachineType> types;
+};
+
+using Record = std::variant<JobRecord, ChunkRecord, NodeRecord, PartRecord,
+                            RentalRecord, TypesRecord, TeamRecord, DrainRecord>;
+
+// Keys. Everything lies under one prefix, so that one watch sees it all in order.
+namespace keys {
+inline constexpr char kPrefix[] = "pf/";
+inline constexpr char kJobs[] = "pf/jobs/";
+inline constexpr char kRuns[] = "pf/runs/";
+inline constexpr char kNodes[] = "pf/nodes/";
+inline constexpr char kParts[] = "pf/parts/";
+inline constexpr char kRentals[] = "pf/rentals/";
+inline constexpr char kTeams[] = "pf/teams/";
+inline constexpr char kTypes[] = "pf/types";
+inline constexpr char kDrain[] = "pf/drain";
+
+inline std::string Job(const std::string& id) { return kJobs + id; }
+inline std::string Chunk(const std::string& id, uint32_t chunk) {
+  return kRuns + id + "/" + std::to_string(chunk);
+}
+inline std::string Node(const std::string& label, const std::string& life) {
+  return kNodes + label + "." + life;
+}
+inline std::string Part(uint32_t part) { return kParts + std::to_string(part); }
+// Changed after a write whose outcome stays unknown, so that a late copy of it
+// finds a condition unmet.
+inline std::string Fence(uint32_t part, uint64_t token) {
+  return "pf/fences/" + std::to_string(part) + "." + std::to_string(token);
+}
+inline std::string Team(const std::string& name) { return kTeams + name; }
+inline std::string Rental(const std::string& name) { return kRentals + name; }
+}  // namespace keys
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_RECORDS_H_
--- /dev/null
+++ b/src/core/settings.h
@@ -0,0 +1,76 @@
+// What the core needs to know of the deployment, whatever file it came from.
+#ifndef PITCHFALL_CORE_SETTINGS_H_
+#define PITCHFALL_CORE_SETTINGS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/resources.h"
+#include "core/time.h"
+
+namespace pitchfall {
+
+struct Team {
+  std::string name;
+  // 0: none
+  int64_t cpus_guaranteed = 0;
+  int64_t cpus_limit = 0;
+  int64_t gpus_guaranteed = 0;
+  int64_t gpus_limit = 0;
+};
+
+struct Objective {
+  std::string kind;
+  std::string job_class;
+  Duration within{0};
+  double share = 0;
+};
+
+// The file that the platform hands over.
+struct Deployment {
+  std::string label;
+  std::string zone;
+  std::string front;
+  std::string peer_bind;
+  struct Peer {
+    std::string label;
+    std::string address;
+  };
+  std::vector<Peer> peers;
+  std::string cloud;
+  std::string state;
+  std::vector<std::string> zones;
+  Duration time_bound{0};
+  std::map<std::string, Team> teams;
+  std::vector<Objective> objectives;
+  Duration report{Millis(2000)};
+  Duration worker_lease{Millis(10000)};
+  Duration cancel{Millis(30000)};
+  double state_rps = 100;
+  double state_writes = 15;
+  double value_kb = 8;
+  uint32_t txn_ops = 8;
+  double cloud_rps = 4;
+  Duration list_lag{Millis(5000)};
+  uint32_t sockets = 1024;
+};
+
+// The operators' own settings; docs/operations.md gives units and reasons.
+struct Tuning {
+  Duration node_lease{Millis(4000)};
+  Duration state_timeout{Millis(1500)};
+  Duration cloud_timeout{Millis(5000)};
+  Duration hold_report{Millis(1000)};
+  Duration idle_before_return{Millis(8000)};
+  uint32_t max_machines = 500;
+  uint32_t parts = 0;  // 0: as many as controllers
+  uint32_t chunk_tasks = 8;
+  Duration claim_delay{Millis(1000)};
+  Duration handover_after{Millis(10000)};
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_SETTINGS_H_
--- /dev/null
+++ b/src/core/users.cc
@@ -0,0 +1,297 @@
+#include "core/users.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "core/hash.h"
+
+namespace pitchfall {
+namespace {
+
+// A submission that could not be stored within this time is handed back to its
+// user, who gives up waiting after five seconds.
+constexpr Duration kMaxWait = Millis(2500);
+// Polls wait two seconds for their answer.
+constexpr Duration kMaxPollWait = Millis(1500);
+constexpr size_t kMaxWaitingPolls = 2000;
+constexpr Duration kStoreGap = Millis(15);
+
+}  // namespace
+
+void Users::AnswerWith(RequestId request, const Job& job, bool counts) {
+  context_.out.Answer(request, 200, Describe(job, counts));
+}
+
+Duration Users::RetryAfter() const {
+  double rate = std::max(0.5, context_.writes.rate());
+  double seconds = std::ceil(static_cast<double>(queue_.size()) / rate);
+  return Seconds(std::clamp(seconds, 1.0, 20.0));
+}
+
+void Users::Submit(RequestId request, const JobSpec& spec) {
+  if (const Job* job = context_.mirror.FindJob(spec.id)) {
+    if (job->record.final()) {
+      AnswerWith(request, *job, false);
+    } else {
+      AnswerAfterRead(request, spec.id, false);
+    }
+    return;
+  }
+  if (!context_.follower.Fresh() || !context_.mirror.types()) {
+    context_.out.Refuse(request, Millis(2000));
+    return;
+  }
+  std::string problem = WhyImpossible(spec, context_.deployment,
+                                      context_.mirror.types()->value);
+  if (!problem.empty()) {
+    context_.out.Answer(request, 422, Problem{problem});
+    return;
+  }
+  Change change;
+  change.job = spec.id;
+  change.spec = spec;
+  change.requests.push_back(request);
+  change.since = context_.now();
+  Enqueue(std::move(change));
+}
+
+void Users::Poll(RequestId request, const std::string& id) {
+  const Job* job = context_.mirror.FindJob(id);
+  if (job != nullptr && job->record.final()) {
+    AnswerWith(request, *job, true);
+    return;
+  }
+  AnswerAfterRead(request, id, true);
+}
+
+void Users::AnswerAfterRead(RequestId request, const std::string& id,
+                            bool counts) {
+  if (polls_.size() >= kMaxWaitingPolls) {
+    context_.out.Refuse(request, Millis(2000));
+    return;
+  }
+  polls_.push_back({request, id, counts, context_.now()});
+}
+
+void Users::ServePolls() {
+  if (polls_.empty()) return;
+  // A state service that does not answer must not keep users waiting.
+  if (!context_.follower.Fresh()) {
+    for (const WaitingPoll& poll : std::exchange(polls_, {})) {
+      context_.out.Refuse(poll.request, Millis(2000));
+    }
+    return;
+  }
+  std::erase_if(polls_, [&](const WaitingPoll& poll) {
+    if (context_.now() - poll.since < kMaxPollWait) return false;
+    context_.out.Refuse(poll.request, Millis(2000));
+    return true;
+  });
+  if (serving_polls_ || polls_.empty()) return;
+  serving_polls_ = true;
+  context_.follower.AfterRead(
+      [this, polls = std::exchange(polls_, {})](bool ok) {
+        serving_polls_ = false;
+        for (const WaitingPoll& poll : polls) {
+          const Job* job = context_.mirror.FindJob(poll.job);
+          if (!ok) {
+            context_.out.Refuse(poll.request, Millis(2000));
+          } else if (job == nullptr) {
+            context_.out.Answer(poll.request, 404, Problem{"no such job"});
+          } else {
+            AnswerWith(poll.request, *job, poll.counts);
+          }
+        }
+      });
+}
+
+void Users::Cancel(RequestId request, const std::string& id) {
+  const Job* job = context_.mirror.FindJob(id);
+  if (job != nullptr && job->record.final()) {
+    AnswerWith(request, *job, false);
+    return;
+  }
+  if (!context_.follower.Fresh()) {
+    context_.out.Refuse(request, Millis(2000));
+    return;
+  }
+  auto enqueue = [this, request, id] {
+    Change change;
+    change.cancel = true;
+    change.job = id;
+    change.requests.push_back(request);
+    change.since = context_.now();
+    Enqueue(std::move(change));
+  };
+  if (job != nullptr) {
+    enqueue();
+    return;
+  }
+  context_.follower.AfterRead([this, request, id, enqueue](bool ok) {
+    if (!ok) {
+      context_.out.Refuse(request, Millis(2000));
+    } else if (context_.mirror.FindJob(id) == nullptr) {
+      context_.out.Answer(request, 404, Problem{"no such job"});
+    } else {
+      enqueue();
+    }
+  });
+}
+
+void Users::Enqueue(Change change) {
+  for (Change& waiting : queue_) {
+    if (waiting.job == change.job && waiting.cancel == change.cancel) {
+      waiting.requests.insert(waiting.requests.end(), change.requests.begin(),
+                              change.requests.end());
+      return;
+    }
+  }
+  if (change.cancel) {
+    queue_.push_front(std::move(change));
+    return;
+  }
+  // More than can be stored in time is sent away at once, with the time by
+  // which the queue will have been worked off.
+  double waiting = static_cast<double>(queue_.size());
+  if (waiting >= std::max(4.0, context_.writes.rate() * 1.5)) {
+    Refuse(change, RetryAfter());
+    return;
+  }
+  queue_.push_back(std::move(change));
+}
+
+void Users::Refuse(const Change& change, Duration retry_after) {
+  for (RequestId request : change.requests) {
+    context_.out.Refuse(request, retry_after);
+  }
+}
+
+JobRecord Users::MakeRecord(const JobSpec& spec) {
+  JobRecord record;
+  record.spec = spec;
+  record.submitted = context_.out.now().wall;
+  record.chunk_size = std::clamp(spec.tasks / 64, context_.tuning.chunk_tasks,
+                                 256u);
+  // The roomiest part takes the job; if it has not room for all of it, the
+  // parts take its chunks in turn.
+  std::vector<int64_t> room = free_room_();
+  room.resize(context_.parts, 0);
+  if (context_.now() - dealt_since_ > Millis(2000)) {
+    dealt_.assign(context_.parts, 0);
+    dealt_since_ = context_.now();
+  }
+  dealt_.resize(context_.parts, 0);
+  uint32_t home = static_cast<uint32_t>(StableHash(spec.id, 0) % context_.parts);
+  for (uint32_t part = 0; part < context_.parts; ++part) {
+    if (room[part] - dealt_[part] > room[home] - dealt_[home]) home = part;
+  }
+  int64_t need = spec.need.cpus * static_cast<int64_t>(spec.tasks);
+  record.home = home;
+  record.spread_over = need > room[home] - dealt_[home] ? context_.parts : 1;
+  if (record.spread_over == 1) dealt_[home] += need;
+  return record;
+}
+
+void Users::Step() {
+  ServePolls();
+  std::erase_if(queue_, [&](const Change& change) {
+    if (context_.now() - change.since < kMaxWait) return false;
+    Refuse(change, RetryAfter());
+    return true;
+  });
+  Flush();
+}
+
+void Users::Flush() {
+  SteadyTime now = context_.now();
+  if (storing_ || queue_.empty() || now < next_store_) return;
+  // Starts and results come before submissions, cancellations before both: the
+  // last tokens are left to them.
+  double spare = std::min(2.0, context_.writes.rate() / 4);
+  Transaction txn;
+  std::vector<Change> batch;
+  while (!queue_.empty() && batch.size() < context_.deployment.txn_ops) {
+    Change& change = queue_.front();
+    const Job* job = context_.mirror.FindJob(change.job);
+    if (job != nullptr && (job->record.final() || !change.cancel)) {
+      for (RequestId request : change.requests) {
+        if (job->record.final()) {
+          AnswerWith(request, *job, false);
+        } else {
+          AnswerAfterRead(request, change.job, false);
+        }
+      }
+      queue_.pop_front();
+      continue;
+    }
+    if (!context_.writes.Take(now, 1, change.cancel ? -2 : spare)) break;
+    if (change.cancel) {
+      JobRecord record = job->record;
+      record.state = JobState::kCancelled;
+      txn.conditions.push_back({keys::Job(change.job), job->stamp});
+      txn.writes.push_back({keys::Job(change.job), std::move(record)});
+    } else {
+      txn.conditions.push_back({keys::Job(change.job), 0});
+      txn.writes.push_back({keys::Job(change.job), MakeRecord(change.spec)});
+    }
+    batch.push_back(std::move(change));
+    queue_.pop_front();
+  }
+  if (batch.empty()) return;
+  context_.requests.Take(now, 1, -1e9);
+  storing_ = true;
+  auto handler = [this, batch = std::move(batch), txn](
+                     const StateReply& reply) mutable {
+    OnStored(std::move(batch), txn, reply);
+  };
+  context_.out.CallState(std::move(txn), context_.tuning.state_timeout,
+                         std::move(handler));
+}
+
+void Users::OnStored(std::vector<Change> batch, const Transaction& txn,
+                     const StateReply& reply) {
+  storing_ = false;
+  next_store_ = context_.now() + kStoreGap;
+  if (reply.status == 200) {
+    for (const Write& write : txn.writes) {
+      context_.mirror.Apply({write.key, write.value, reply.revision});
+    }
+    for (const Change& change : batch) {
+      JobAnswer answer;
+      answer.id = change.job;
+      answer.status = change.cancel ? JobAnswer::Status::kCancelled
+                                    : JobAnswer::Status::kQueued;
+      for (RequestId request : change.requests) {
+        context_.out.Answer(request, change.cancel ? 200 : 201, answer);
+      }
+    }
+    return;
+  }
+  if (reply.status == 429) {
+    context_.writes.Drain(context_.now());
+    next_store_ = context_.now() + Millis(100);
+  }
+  if (reply.status == 409 || reply.status == 429) {
+    // Somebody else was quicker with one of them: look, then try again.
+    auto retry = [this, batch = std::move(batch)](bool) mutable {
+      for (Change& change : batch) {
+        queue_.push_front(std::move(change));
+      }
+    };
+    if (reply.status == 409) {
+      context_.follower.AfterRead(std::move(retry));
+    } else {
+      retry(true);
+    }
+    return;
+  }
+  // Refused, or no answer: then the outcome is unknown, and a late copy may
+  // still be carried out. A job's key is only ever created once, so that the
+  // user's next try finds out.
+  context_.follower.Want();
+  next_store_ = context_.now() + Millis(200);
+  for (const Change& change : batch) Refuse(change, Millis(1000));
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/users.h
@@ -0,0 +1,70 @@
+// What users ask for: submissions, polls and cancellations. Any controller
+// serves any user; nothing is acknowledged before it is stored.
+#ifndef PITCHFALL_CORE_USERS_H_
+#define PITCHFALL_CORE_USERS_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+
+namespace pitchfall {
+
+class Users {
+ public:
+  // Free processors of each part as far as this controller knows.
+  using FreeRoom = std::function<std::vector<int64_t>()>;
+
+  Users(Context& context, FreeRoom free_room)
+      : context_(context), free_room_(std::move(free_room)) {}
+
+  void Submit(RequestId request, const JobSpec& spec);
+  void Poll(RequestId request, const std::string& job);
+  void Cancel(RequestId request, const std::string& job);
+  void Step();
+
+ private:
+  struct Change {
+    bool cancel = false;
+    std::string job;
+    JobSpec spec;  // of a submission
+    std::vector<RequestId> requests;
+    SteadyTime since;
+  };
+
+  void AnswerWith(RequestId request, const Job& job, bool counts);
+  // Answers from the mirror once it is known to be current.
+  void AnswerAfterRead(RequestId request, const std::string& job, bool counts);
+  void ServePolls();
+  void Enqueue(Change change);
+  void Flush();
+  void OnStored(std::vector<Change> batch, const Transaction& txn,
+                const StateReply& reply);
+  void Refuse(const Change& change, Duration retry_after);
+  JobRecord MakeRecord(const JobSpec& spec);
+  Duration RetryAfter() const;
+
+  struct WaitingPoll {
+    RequestId request;
+    std::string job;
+    bool counts;
+    SteadyTime since;
+  };
+
+  Context& context_;
+  FreeRoom free_room_;
+  std::deque<Change> queue_;  // cancellations first
+  bool storing_ = false;
+  SteadyTime next_store_{};
+  std::vector<WaitingPoll> polls_;  // for the next reading
+  bool serving_polls_ = false;
+  std::vector<int64_t> dealt_;  // room given away since the last report
+  SteadyTime dealt_since_{};
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_USERS_H_
--- /dev/null
+++ b/src/io/event.h
@@ -0,0 +1,50 @@
+// Ownership of libevent's objects.
+#ifndef PITCHFALL_IO_EVENT_H_
+#define PITCHFALL_IO_EVENT_H_
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+#include <sys/time.h>
+
+#include <memory>
+
+#include "core/time.h"
+
+namespace pitchfall::io {
+
+template <auto free>
+struct Deleter {
+  template <typename T>
+  void operator()(T* pointer) const {
+    free(pointer);
+  }
+};
+
+using EventBase = std::unique_ptr<event_base, Deleter<event_base_free>>;
+using Event = std::unique_ptr<event, Deleter<event_free>>;
+using Buffer = std::unique_ptr<evbuffer, Deleter<evbuffer_free>>;
+using BufferEvent = std::unique_ptr<bufferevent, Deleter<bufferevent_free>>;
+using Listener = std::unique_ptr<evconnlistener, Deleter<evconnlistener_free>>;
+using HttpServer = std::unique_ptr<evhttp, Deleter<evhttp_free>>;
+using HttpConnection =
+    std::unique_ptr<evhttp_connection, Deleter<evhttp_connection_free>>;
+
+inline timeval ToTimeval(Duration d) {
+  return {static_cast<time_t>(d.count() / 1000000),
+          static_cast<suseconds_t>(d.count() % 1000000)};
+}
+
+struct Address {
+  std::string host;
+  uint16_t port = 0;
+};
+
+// "10.0.0.1:8080"; throws std::invalid_argument.
+Address ParseAddress(const std::string& text);
+
+}  // namespace pitchfall::io
+
+#endif  // PITCHFALL_IO_EVENT_H_
--- /dev/null
+++ b/src/io/front.cc
@@ -0,0 +1,145 @@
+#include "io/front.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <string_view>
+#include <utility>
+
+#include "wire/codec.h"
+
+namespace pitchfall::io {
+namespace {
+
+constexpr size_t kMostBody = 64 * 1024;
+constexpr size_t kMostHeaders = 16 * 1024;
+constexpr int kIdleSeconds = 60;
+
+std::string ReadBody(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_copyout(input, body.data(), body.size());
+  return body;
+}
+
+}  // namespace
+
+Front::Front(event_base* base, const Address& address, Sink sink)
+    : sink_(std::move(sink)), server_(evhttp_new(base)) {
+  evhttp_set_max_body_size(server_.get(), kMostBody);
+  evhttp_set_max_headers_size(server_.get(), kMostHeaders);
+  evhttp_set_timeout(server_.get(), kIdleSeconds);
+  // All methods, so that a wrong one is answered with 405 and not 501.
+  evhttp_set_allowed_methods(
+      server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                         EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
+  evhttp_set_gencb(server_.get(), OnRequest, this);
+  if (evhttp_bind_socket(server_.get(), address.host.c_str(), address.port) !=
+      0) {
+    throw std::runtime_error("cannot listen on " + address.host + ":" +
+                             std::to_string(address.port));
+  }
+}
+
+Front::~Front() {
+  for (auto& [id, waiting] : waiting_) {
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(waiting->request), nullptr, nullptr);
+  }
+}
+
+void Front::OnRequest(evhttp_request* request, void* arg) {
+  static_cast<Front*>(arg)->Route(request);
+}
+
+void Front::OnClose(evhttp_connection*, void* arg) {
+  Waiting* waiting = static_cast<Waiting*>(arg);
+  waiting->front->waiting_.erase(waiting->id);
+}
+
+RequestId Front::Hold(evhttp_request* request) {
+  RequestId id = ++last_id_;
+  auto waiting = std::make_unique<Waiting>(Waiting{this, id, request});
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request), OnClose,
+                                waiting.get());
+  waiting_.emplace(id, std::move(waiting));
+  return id;
+}
+
+void Front::Route(evhttp_request* request) {
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+  const char* raw_path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+  std::string_view path = raw_path == nullptr ? "" : raw_path;
+  evhttp_cmd_type method = evhttp_request_get_command(request);
+  auto fail = [&](int status, const std::string& why) {
+    Send(request, status, wire::EncodeReplyBody(Problem{why}), {});
+  };
+  auto expect = [&](evhttp_cmd_type wanted) {
+    if (method == wanted) return true;
+    fail(405, "wrong method");
+    return false;
+  };
+
+  if (path == wire::kHealthPath) {
+    if (expect(EVHTTP_REQ_GET)) sink_(HealthCheck{Hold(request)});
+    return;
+  }
+  if (path == wire::kCheckInPath) {
+    if (!expect(EVHTTP_REQ_POST)) return;
+    auto report = wire::DecodeReport(ReadBody(request));
+    if (!report.value) return fail(400, report.error);
+    sink_(CheckIn{Hold(request), std::move(*report.value)});
+    return;
+  }
+  if (path == wire::kJobsPath) {
+    if (!expect(EVHTTP_REQ_POST)) return;
+    auto spec = wire::DecodeSubmission(ReadBody(request));
+    if (!spec.value) return fail(400, spec.error);
+    sink_(SubmitJob{Hold(request), std::move(*spec.value)});
+    return;
+  }
+  std::string jobs = std::string(wire::kJobsPath) + "/";
+  if (path.starts_with(jobs)) {
+    std::string_view id = path.substr(jobs.size());
+    bool cancel = id.ends_with(wire::kCancelEnd);
+    if (cancel) id.remove_suffix(sizeof(wire::kCancelEnd) - 1);
+    if (id.find('/') != std::string_view::npos) return fail(404, "no such path");
+    if (!expect(cancel ? EVHTTP_REQ_POST : EVHTTP_REQ_GET)) return;
+    // An id of another form cannot have been accepted.
+    if (!wire::ValidJobId(id)) return fail(404, "no such job");
+    if (cancel) {
+      sink_(CancelJob{Hold(request), std::string(id)});
+    } else {
+      sink_(PollJob{Hold(request), std::string(id)});
+    }
+    return;
+  }
+  fail(404, "no such path");
+}
+
+void Front::Answer(const Reply& reply) {
+  auto it = waiting_.find(reply.request);
+  if (it == waiting_.end()) return;  // the client has gone
+  evhttp_request* request = it->second->request;
+  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr,
+                                nullptr);
+  waiting_.erase(it);
+  Send(request, reply.status, wire::EncodeReplyBody(reply.body),
+       reply.retry_after);
+}
+
+void Front::Send(evhttp_request* request, int status, const std::string& body,
+                 std::optional<Duration> retry_after) {
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Content-Type", "application/msgpack");
+  if (retry_after) {
+    int64_t seconds =
+        std::max<int64_t>(1, (retry_after->count() + 999999) / 1000000);
+    evhttp_add_header(headers, "Retry-After", std::to_string(seconds).c_str());
+  }
+  evbuffer* output = evhttp_request_get_output_buffer(request);
+  evbuffer_add(output, body.data(), body.size());
+  evhttp_send_reply(request, status, nullptr, nullptr);
+}
+
+}  // namespace pitchfall::io
--- /dev/null
+++ b/src/io/peers.cc
@@ -0,0 +1,127 @@
+#include "io/peers.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "wire/peer.h"
+
+namespace pitchfall::io {
+namespace {
+
+// A connection on which this much waits to be sent leads nowhere.
+constexpr size_t kMostWaiting = 4096;
+constexpr size_t kMostIncoming = 64;
+
+sockaddr_in ToSockaddr(const Address& address) {
+  sockaddr_in sin{};
+  sin.sin_family = AF_INET;
+  sin.sin_port = htons(address.port);
+  if (inet_pton(AF_INET, address.host.c_str(), &sin.sin_addr) != 1) {
+    throw std::runtime_error("'" + address.host + "' is not an IPv4 address");
+  }
+  return sin;
+}
+
+}  // namespace
+
+Peers::Peers(event_base* base, const Address& bind,
+             const std::vector<Address>& peers, Sink sink)
+    : base_(base), sink_(std::move(sink)) {
+  sockaddr_in sin = ToSockaddr(bind);
+  listener_.reset(evconnlistener_new_bind(
+      base, OnAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+      reinterpret_cast<sockaddr*>(&sin), sizeof(sin)));
+  if (!listener_) {
+    throw std::runtime_error("cannot listen on " + bind.host + ":" +
+                             std::to_string(bind.port));
+  }
+  for (const Address& address : peers) {
+    outgoing_.push_back(std::make_unique<Outgoing>());
+    outgoing_.back()->address = address;
+  }
+}
+
+Peers::~Peers() = default;
+
+void Peers::Broadcast(const PeerHello& hello) {
+  std::string message = wire::EncodeHello(hello);
+  for (auto& peer : outgoing_) {
+    if (peer->connection &&
+        (peer->broken ||
+         evbuffer_get_length(bufferevent_get_output(peer->connection.get())) >
+             kMostWaiting)) {
+      peer->connection.reset();
+      peer->broken = false;
+    }
+    if (!peer->connection) {
+      sockaddr_in sin = ToSockaddr(peer->address);
+      peer->connection.reset(
+          bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE));
+      bufferevent_setcb(peer->connection.get(), nullptr, nullptr,
+                        OnOutgoingEvent, peer.get());
+      if (bufferevent_socket_connect(peer->connection.get(),
+                                     reinterpret_cast<sockaddr*>(&sin),
+                                     sizeof(sin)) != 0) {
+        peer->broken = true;
+        continue;
+      }
+      // To notice that the other side has closed.
+      bufferevent_enable(peer->connection.get(), EV_READ);
+    }
+    bufferevent_write(peer->connection.get(), message.data(), message.size());
+  }
+}
+
+void Peers::OnOutgoingEvent(bufferevent*, short what, void* arg) {
+  if (what & (BEV_EVENT_ERROR | BEV_EVENT_EOF | BEV_EVENT_TIMEOUT)) {
+    static_cast<Outgoing*>(arg)->broken = true;
+  }
+}
+
+void Peers::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                     void* arg) {
+  auto* self = static_cast<Peers*>(arg);
+  // The oldest is the likeliest to be forgotten by its other end.
+  if (self->incoming_.size() >= kMostIncoming) self->incoming_.pop_front();
+  self->incoming_.emplace_back();
+  auto it = std::prev(self->incoming_.end());
+  it->owner = self;
+  it->self = it;
+  it->connection.reset(
+      bufferevent_socket_new(self->base_, fd, BEV_OPT_CLOSE_ON_FREE));
+  bufferevent_setcb(it->connection.get(), OnRead, nullptr, OnIncomingEvent,
+                    &*it);
+  bufferevent_enable(it->connection.get(), EV_READ);
+}
+
+void Peers::OnRead(bufferevent* connection, void* arg) {
+  auto* peer = static_cast<Incoming*>(arg);
+  evbuffer* input = bufferevent_get_input(connection);
+  while (true) {
+    size_t length = evbuffer_get_length(input);
+    std::string_view data(
+        reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), length);
+    size_t size = wire::HelloSize(data);
+    if (size == 0) {
+      peer->owner->incoming_.erase(peer->self);
+      return;
+    }
+    if (size > length) return;
+    auto hello = wire::DecodeHello(data.substr(0, size));
+    evbuffer_drain(input, size);
+    if (hello) peer->owner->sink_(std::move(*hello));
+  }
+}
+
+void Peers::OnIncomingEvent(bufferevent*, short what, void* arg) {
+  auto* peer = static_cast<Incoming*>(arg);
+  if (what & (BEV_EVENT_ERROR | BEV_EVENT_EOF | BEV_EVENT_TIMEOUT)) {
+    peer->owner->incoming_.erase(peer->self);
+  }
+}
+
+}  // namespace pitchfall::io
--- /dev/null
+++ b/src/io/runtime.cc
@@ -0,0 +1,133 @@
+#include "io/runtime.h"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <random>
+#include <utility>
+
+#include "io/clock.h"
+#include "wire/codec.h"
+
+namespace pitchfall::io {
+namespace {
+
+constexpr Duration kTick = Millis(25);
+constexpr size_t kStateConnections = 6;
+constexpr size_t kCloudConnections = 4;
+constexpr size_t kMostWorkerClients = 64;
+
+std::string NewLife() {
+  std::random_device random;
+  return fmt::format("{:08x}{:08x}", random(), random());
+}
+
+std::vector<Address> PeerAddresses(const Deployment& deployment) {
+  std::vector<Address> addresses;
+  for (const auto& peer : deployment.peers) {
+    addresses.push_back(ParseAddress(peer.address));
+  }
+  return addresses;
+}
+
+}  // namespace
+
+Runtime::Runtime(const Deployment& deployment, const Tuning& tuning)
+    : base_(event_base_new()),
+      controller_(deployment, tuning, NewLife()),
+      front_(base_.get(), ParseAddress(deployment.front),
+             [this](Command command) { Push(std::move(command)); }),
+      peers_(base_.get(), ParseAddress(deployment.peer_bind),
+             PeerAddresses(deployment),
+             [this](PeerHello hello) { Push(std::move(hello)); }),
+      state_(base_.get(), ParseAddress(deployment.state), kStateConnections),
+      cloud_(base_.get(), ParseAddress(deployment.cloud), kCloudConnections),
+      drain_(event_new(base_.get(), -1, 0, OnDrain, this)),
+      tick_(event_new(base_.get(), -1, EV_PERSIST, OnTick, this)) {
+  timeval tv = ToTimeval(kTick);
+  event_add(tick_.get(), &tv);
+  spdlog::info("event=started label={} front={} peers={}", deployment.label,
+               deployment.front, deployment.peers.size());
+}
+
+void Runtime::Run() { event_base_dispatch(base_.get()); }
+
+void Runtime::Push(Command command) {
+  // What arrives in one turn of the event loop is one batch.
+  if (queue_.empty()) event_active(drain_.get(), 0, 0);
+  queue_.push_back(std::move(command));
+}
+
+void Runtime::OnDrain(evutil_socket_t, short, void* arg) {
+  static_cast<Runtime*>(arg)->Drain();
+}
+
+void Runtime::OnTick(evutil_socket_t, short, void* arg) {
+  static_cast<Runtime*>(arg)->Push(Tick{});
+}
+
+void Runtime::Drain() {
+  std::vector<Command> batch = std::exchange(queue_, {});
+  std::vector<Effect> effects = controller_.Handle(ReadClocks(), batch);
+  for (const Effect& effect : effects) {
+    std::visit([this](const auto& e) { Perform(e); }, effect);
+  }
+}
+
+void Runtime::Perform(const StateCall& call) {
+  state_.Send(wire::EncodeState(call.request), call.timeout,
+              [this, call](int status, std::string_view body) {
+                StateReply reply = wire::DecodeState(call.request, status, body);
+                reply.call = call.call;
+                Push(std::move(reply));
+              });
+}
+
+void Runtime::Perform(const CloudCall& call) {
+  cloud_.Send(wire::EncodeCloud(call.request), call.timeout,
+              [this, call](int status, std::string_view body) {
+                CloudReply reply = wire::DecodeCloud(call.request, status, body);
+                reply.call = call.call;
+                Push(std::move(reply));
+              });
+}
+
+void Runtime::Perform(const WorkerCall& call) {
+  auto answer = [this, id = call.call](int status, std::string_view body) {
+    WorkerReply reply = wire::DecodeWorker(status, body);
+    reply.call = id;
+    Push(std::move(reply));
+  };
+  if (workers_.size() > kMostWorkerClients) workers_.clear();
+  auto& client = workers_[call.address];
+  if (!client) {
+    try {
+      client = std::make_unique<HttpClient>(base_.get(),
+                                            ParseAddress(call.address), 1);
+    } catch (const std::invalid_argument&) {
+      workers_.erase(call.address);
+      answer(0, {});
+      return;
+    }
+  }
+  client->Send(wire::EncodeWorker(call.request), call.timeout, answer);
+}
+
+void Runtime::Perform(const LogLine& line) {
+  switch (line.level) {
+    case LogLevel::kDebug:
+      spdlog::debug("{}", line.text);
+      break;
+    case LogLevel::kInfo:
+      spdlog::info("{}", line.text);
+      break;
+    case LogLevel::kWarning:
+      spdlog::warn("{}", line.text);
+      break;
+    case LogLevel::kError:
+      spdlog::error("{}", line.text);
+      break;
+  }
+}
+
+}  // namespace pitchfall::io
--- /dev/null
+++ b/src/wire/codec.cc
@@ -0,0 +1,475 @@
+#include "wire/codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "wire/pack.h"
+#include "wire/records.h"
+
+namespace pitchfall::wire {
+namespace {
+
+// Bounds on what a message's headers may make us allocate. Users and workers
+// are not trusted; the platform's services send long lists.
+constexpr size_t kClientItems = 8192;
+constexpr size_t kServiceItems = 200000;
+constexpr size_t kMostDepth = 16;
+
+constexpr double kMostAmount = 1e6;
+constexpr double kMostSeconds = 1e9;
+constexpr uint64_t kMostTasks = 100000;
+constexpr size_t kLongestText = 200;
+
+constexpr std::string_view kIdStart = "run-";
+
+template <typename Enum>
+struct Word {
+  std::string_view text;
+  Enum value;
+};
+
+constexpr Word<Priority> kPriorities[] = {{"production", Priority::kProduction},
+                                          {"high", Priority::kHigh},
+                                          {"standard", Priority::kNormal},
+                                          {"best_effort", Priority::kLow}};
+constexpr Word<TaskState> kTaskStates[] = {{"pulling", TaskState::kFetching},
+                                           {"running", TaskState::kRunning},
+                                           {"flushing", TaskState::kSaving},
+                                           {"exited", TaskState::kExited}};
+constexpr Word<ExitCause> kCauses[] = {{"done", ExitCause::kDone},
+                                       {"halted", ExitCause::kStopped},
+                                       {"error", ExitCause::kError},
+                                       {"no_room", ExitCause::kNoRoom},
+                                       {"busy", ExitCause::kBusy},
+                                       {"no_such", ExitCause::kUnknownTask}};
+constexpr Word<MachineStatus> kMachineStatuses[] = {
+    {"starting", MachineStatus::kBooting},
+    {"running", MachineStatus::kRunning},
+    {"failed", MachineStatus::kFailed}};
+
+template <typename Enum, size_t n>
+Enum ReadWord(const Fields& in, std::string_view key,
+              const Word<Enum> (&words)[n]) {
+  std::string text = in.Text(key);
+  for (const auto& word : words) {
+    if (word.text == text) return word.value;
+  }
+  Fields::Fail(key, "has an unknown value");
+}
+
+std::string ReadName(const Fields& in, std::string_view key) {
+  std::string text = in.Text(key);
+  if (text.empty() || text.size() > kLongestText) {
+    Fields::Fail(key, "is empty or too long");
+  }
+  return text;
+}
+
+void ReadTaskId(std::string_view text, std::string& job, uint32_t& task) {
+  size_t slash = text.rfind('/');
+  if (slash == std::string_view::npos) Fields::Fail("leg", "has no number");
+  const char* end = text.data() + text.size();
+  auto parsed = std::from_chars(text.data() + slash + 1, end, task);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    Fields::Fail("leg", "has no number");
+  }
+  job = text.substr(0, slash);
+}
+
+std::string TaskId(const Order& order) {
+  return order.job + "/" + std::to_string(order.task);
+}
+
+Duration ReadSeconds(const Fields& in, std::string_view key) {
+  return Seconds(in.Amount(key, kMostSeconds));
+}
+
+JobSpec ReadSubmission(const Fields& in) {
+  JobSpec spec;
+  spec.id = in.Text("uid");
+  if (!ValidJobId(spec.id)) Fields::Fail("uid", "has the wrong form");
+  spec.job_class = ReadName(in, "lane");
+  spec.team = ReadName(in, "crew");
+  if (in.Text("shape") != "sweep") Fields::Fail("shape", "is not supported");
+  spec.priority = ReadWord(in, "urgency", kPriorities);
+  spec.tasks = static_cast<uint32_t>(in.Count("legs", kMostTasks));
+  if (spec.tasks == 0) Fields::Fail("legs", "is 0");
+  spec.need = Resources::FromDecimals(in.Amount("vcpus", kMostAmount),
+                                      in.Amount("accelerators", kMostAmount),
+                                      in.Amount("mem_gb", kMostAmount));
+  if (spec.need.cpus == 0) Fields::Fail("vcpus", "is 0");
+  spec.image = ReadName(in, "kit");
+  spec.image_gb = in.Amount("pull_gb", kMostAmount);
+  if (in.Find("rigs") != nullptr) {
+    const auto& list = in.List("rigs");
+    spec.types.emplace();
+    for (uint32_t i = 0; i < list.size; ++i) {
+      spec.types->push_back(Fields::AsText(list.ptr[i], "rigs"));
+    }
+  }
+  spec.zone = in.TextOr("yard", "");
+  spec.one_zone = in.FlagOr("together", false);
+  spec.spread = in.FlagOr("scatter", false);
+  spec.spot = in.FlagOr("loaners", false);
+  spec.estimate = ReadSeconds(in, "expected_s");
+  spec.checkpoint = ReadSeconds(in, "waypoint_s");
+  spec.save = ReadSeconds(in, "stow_s");
+  if (in.Find("due_s") != nullptr) spec.deadline = ReadSeconds(in, "due_s");
+  return spec;
+}
+
+WorkerReport ReadReport(const Fields& in) {
+  WorkerReport report;
+  report.machine = ReadName(in, "tine");
+  report.address = in.TextOr("addr", "");
+  report.type = ReadName(in, "rig");
+  report.zone = ReadName(in, "yard");
+  report.spot = in.FlagOr("loaners", false);
+  report.session = in.Count("shift");
+  report.seq = in.Count("tally");
+  report.token = in.CountOr("baton", 0);
+  if (in.Find("recall_s") != nullptr) {
+    report.notice = ReadSeconds(in, "recall_s");
+  }
+  if (in.Find("legs") == nullptr) return report;
+  const auto& list = in.List("legs");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    Fields row(list.ptr[i]);
+    ReportedTask task;
+    ReadTaskId(row.Text("leg"), task.job, task.task);
+    task.attempt = static_cast<uint32_t>(row.Count("try", UINT32_MAX));
+    task.state = ReadWord(row, "status", kTaskStates);
+    if (task.state == TaskState::kExited) {
+      task.cause = ReadWord(row, "cause", kCauses);
+    }
+    report.tasks.push_back(std::move(task));
+  }
+  return report;
+}
+
+template <typename T, typename Read>
+Decoded<T> DecodeClient(std::string_view body, Read read) {
+  try {
+    Message message(body, kClientItems, kMostDepth);
+    return {read(Fields(message.root())), ""};
+  } catch (const Malformed& problem) {
+    return {std::nullopt, problem.what()};
+  }
+}
+
+void PackOrders(Packer& out, const std::vector<Order>& orders) {
+  out.Key("orders").List(orders.size());
+  for (const Order& order : orders) {
+    bool stop = order.op == Order::Op::kStop;
+    out.Map(stop ? 4 : 3);
+    out.Pair("verb", order.op == Order::Op::kStart  ? "launch"
+                     : order.op == Order::Op::kStop ? "kill"
+                                                    : "forget");
+    out.Pair("leg", TaskId(order)).Pair("try", order.attempt);
+    if (stop) out.Pair("wind_down_s", ToSeconds(order.grace));
+  }
+}
+
+std::string_view StatusWord(JobAnswer::Status status) {
+  switch (status) {
+    case JobAnswer::Status::kQueued:
+      return "queued";
+    case JobAnswer::Status::kRunning:
+      return "running";
+    case JobAnswer::Status::kDone:
+      return "done";
+    case JobAnswer::Status::kCancelled:
+      return "withdrawn";
+  }
+  return "queued";
+}
+
+void PackBody(Packer& out, const std::monostate&) { out.Map(0); }
+void PackBody(Packer& out, const JobAnswer& answer) {
+  out.Map(answer.counts ? 4 : 2).Pair("uid", answer.id);
+  out.Pair("status", StatusWord(answer.status));
+  if (answer.counts) {
+    out.Pair("done", answer.done).Pair("running", answer.running);
+  }
+}
+void PackBody(Packer& out, const Orders& orders) {
+  out.Map(2).Pair("baton", orders.token);
+  PackOrders(out, orders.orders);
+}
+void PackBody(Packer& out, const Redirect& redirect) {
+  if (redirect.owner.empty()) {
+    out.Map(0);
+  } else {
+    out.Map(1).Pair("foreman", redirect.owner);
+  }
+}
+void PackBody(Packer& out, const Problem& problem) {
+  out.Map(1).Pair("error", problem.message);
+}
+
+// ---- State service ----
+
+std::string Body(const Transaction& txn) {
+  Packer out;
+  out.Map(2).Key("if").List(txn.conditions.size());
+  for (const Condition& condition : txn.conditions) {
+    out.Map(2).Pair("key", condition.key).Pair("stamp", condition.stamp);
+  }
+  out.Key("writes").List(txn.writes.size());
+  for (const Write& write : txn.writes) {
+    if (!write.value) {
+      out.Map(1).Pair("drop", write.key);
+      continue;
+    }
+    out.Map(write.lease != 0 ? 3 : 2).Pair("put", write.key);
+    PackRecord(out.Key("v"), *write.value);
+    if (write.lease != 0) out.Pair("hold", write.lease);
+  }
+  return out.Take();
+}
+
+Change ReadChange(const Fields& row, std::string_view key_field) {
+  Change change;
+  change.key = row.Text(key_field);
+  change.stamp = row.Count("stamp");
+  if (const msgpack::object* value = row.Find("v")) {
+    try {
+      change.value = ReadRecord(change.key, *value);
+    } catch (const Malformed&) {
+      change.unreadable = true;
+    }
+    if (!change.value) change.unreadable = true;
+  }
+  return change;
+}
+
+void ReadInto(StateReply& reply, const Transaction&, const Fields& in) {
+  reply.revision = reply.status == 200 ? in.Count("ledger") : 0;
+  if (in.Find("failed") != nullptr) {
+    const auto& list = in.List("failed");
+    for (uint32_t i = 0; i < list.size; ++i) {
+      reply.failed.push_back(Fields::AsText(list.ptr[i], "failed"));
+    }
+  }
+  reply.no_lease =
+      reply.status == 400 && in.TextOr("error", "") == "no such lease";
+}
+void ReadInto(StateReply& reply, const Grant&, const Fields& in) {
+  reply.lease = in.CountOr("hold", 0);
+}
+void ReadInto(StateReply&, const Renew&, const Fields&) {}  // says nothing
+void ReadInto(StateReply& reply, const WatchRead&, const Fields& in) {
+  reply.revision = in.Count("ledger");
+  const auto& list = in.List("log");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    Fields row(list.ptr[i]);
+    bool put = row.Find("put") != nullptr;
+    reply.changes.push_back(ReadChange(row, put ? "put" : "drop"));
+  }
+}
+void ReadInto(StateReply& reply, const ListRead&, const Fields& in) {
+  reply.revision = in.Count("ledger");
+  const auto& list = in.List("rows");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    reply.changes.push_back(ReadChange(Fields(list.ptr[i]), "key"));
+  }
+  reply.more = in.Flag("has_next");
+}
+
+// ---- Cloud ----
+
+MachineType ReadType(const Fields& in) {
+  MachineType type;
+  type.name = ReadName(in, "name");
+  type.capacity = Resources::FromDecimals(in.Amount("vcpus", kMostAmount),
+                                          in.AmountOr("accelerators",
+                                                      kMostAmount, 0),
+                                          in.Amount("mem_gb", kMostAmount));
+  type.cache_gb = in.AmountOr("local_gb", kMostAmount, 0);
+  type.fetch_gb_per_s = in.AmountOr("fetch_gb_per_s", kMostAmount, 0);
+  type.price = in.Amount("hourly", kMostAmount);
+  type.spot_price = in.AmountOr("market_price", kMostAmount, type.price);
+  type.boot = ReadSeconds(in, "startup_s");
+  const auto& zones = in.List("yards");
+  for (uint32_t i = 0; i < zones.size; ++i) {
+    type.zones.push_back(Fields::AsText(zones.ptr[i], "yards"));
+  }
+  return type;
+}
+
+ListedMachine ReadListed(const Fields& in) {
+  ListedMachine machine;
+  machine.name = ReadName(in, "uid");
+  machine.address = in.TextOr("addr", "");
+  machine.type = ReadName(in, "rig");
+  machine.zone = ReadName(in, "yard");
+  machine.spot = in.FlagOr("loaners", false);
+  machine.status = ReadWord(in, "status", kMachineStatuses);
+  machine.age = ReadSeconds(in, "age_s");
+  return machine;
+}
+
+void ReadInto(CloudReply& reply, const GetTypes&, const Fields& in) {
+  const auto& list = in.List("rigs");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    reply.types.push_back(ReadType(Fields(list.ptr[i])));
+  }
+}
+void ReadInto(CloudReply& reply, const Rent&, const Fields& in) {
+  if (reply.status != 200) {
+    reply.no_capacity = in.TextOr("error", "") == "no capacity";
+    return;
+  }
+  const auto& list = in.List("tines");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    reply.rented.push_back(Fields::AsText(list.ptr[i], "tines"));
+  }
+}
+void ReadInto(CloudReply&, const DeleteMachines&, const Fields&) {}
+void ReadInto(CloudReply& reply, const ListMachines&, const Fields& in) {
+  const auto& list = in.List("tines");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    reply.listed.push_back(ReadListed(Fields(list.ptr[i])));
+  }
+  reply.more = in.FlagOr("has_next", false);
+}
+
+}  // namespace
+
+bool ValidJobId(std::string_view id) {
+  if (!id.starts_with(kIdStart)) return false;
+  id.remove_prefix(kIdStart.size());
+  return !id.empty() && id.size() <= 20 &&
+         std::all_of(id.begin(), id.end(),
+                     [](char c) { return c >= '0' && c <= '9'; });
+}
+
+Decoded<JobSpec> DecodeSubmission(std::string_view body) {
+  return DecodeClient<JobSpec>(body, ReadSubmission);
+}
+
+Decoded<WorkerReport> DecodeReport(std::string_view body) {
+  return DecodeClient<WorkerReport>(body, ReadReport);
+}
+
+std::string EncodeReplyBody(const ReplyBody& body) {
+  Packer out;
+  std::visit([&](const auto& b) { PackBody(out, b); }, body);
+  return out.Take();
+}
+
+HttpRequest EncodeState(const StateRequest& request) {
+  HttpRequest http;
+  if (const auto* txn = std::get_if<Transaction>(&request)) {
+    http.post = true;
+    http.path = "/txn";
+    http.body = Body(*txn);
+  } else if (const auto* grant = std::get_if<Grant>(&request)) {
+    http.post = true;
+    http.path = "/grants";
+    Packer out;
+    out.Map(1).Pair("ttl_ms", grant->ttl.count() / 1000);
+    http.body = out.Take();
+  } else if (const auto* renew = std::get_if<Renew>(&request)) {
+    http.post = true;
+    http.path = "/grants/" + std::to_string(renew->lease) + "/renew";
+    http.body = Packer().Map(0).Take();
+  } else if (const auto* watch = std::get_if<WatchRead>(&request)) {
+    http.path = "/watch?starts=" + std::string(keys::kPrefix) +
+                "&from=" + std::to_string(watch->from) + "&wait_ms=0";
+  } else if (const auto* list = std::get_if<ListRead>(&request)) {
+    http.path = "/keys?starts=" + std::string(keys::kPrefix) + "&most=1000";
+    if (!list->after.empty()) http.path += "&from=" + list->after;
+  }
+  return http;
+}
+
+StateReply DecodeState(const StateRequest& request, int status,
+                       std::string_view body) {
+  StateReply reply;
+  reply.status = status;
+  if (status == 0 || std::holds_alternative<Renew>(request)) return reply;
+  try {
+    Message message(body, kServiceItems, kMostDepth);
+    if (status == 200 || status == 409 || status == 400) {
+      Fields in(message.root());
+      std::visit([&](const auto& r) { ReadInto(reply, r, in); }, request);
+    }
+  } catch (const Malformed&) {
+    // An answer that cannot be read is no answer.
+    if (status == 200) reply.status = 0;
+  }
+  return reply;
+}
+
+HttpRequest EncodeCloud(const CloudRequest& request) {
+  HttpRequest http;
+  if (std::holds_alternative<GetTypes>(request)) {
+    http.path = "/flavors";
+  } else if (const auto* rent = std::get_if<Rent>(&request)) {
+    http.post = true;
+    http.path = "/rentals";
+    Packer out;
+    out.Map(5).Pair("hire", rent->name).Pair("rig", rent->type);
+    out.Pair("yard", rent->zone).Pair("loaners", rent->spot);
+    out.Pair("count", rent->count);
+    http.body = out.Take();
+  } else if (const auto* gone = std::get_if<DeleteMachines>(&request)) {
+    http.post = true;
+    http.path = "/rentals/delete";
+    Packer out;
+    out.Map(1).Key("tines").List(gone->machines.size());
+    for (const std::string& name : gone->machines) out.Value(name);
+    http.body = out.Take();
+  } else if (const auto* list = std::get_if<ListMachines>(&request)) {
+    http.path = "/rentals?most=500";
+    if (!list->after.empty()) http.path += "&from=" + list->after;
+  }
+  return http;
+}
+
+CloudReply DecodeCloud(const CloudRequest& request, int status,
+                       std::string_view body) {
+  CloudReply reply;
+  reply.status = status;
+  if (status == 0 || std::holds_alternative<DeleteMachines>(request)) {
+    return reply;
+  }
+  try {
+    Message message(body, kServiceItems, kMostDepth);
+    if (status == 200 || status == 503) {
+      Fields in(message.root());
+      std::visit([&](const auto& r) { ReadInto(reply, r, in); }, request);
+    }
+  } catch (const Malformed&) {
+    if (status == 200) reply.status = 0;
+  }
+  return reply;
+}
+
+HttpRequest EncodeWorker(const WorkerRequest& request) {
+  HttpRequest http;
+  if (const auto* command = std::get_if<CommandWorker>(&request)) {
+    http.post = true;
+    http.path = "/commands";
+    Packer out;
+    out.Map(3).Pair("baton", command->token).Pair("shift", command->session);
+    PackOrders(out, command->orders);
+    http.body = out.Take();
+  } else {
+    http.path = "/inspect";
+  }
+  return http;
+}
+
+WorkerReply DecodeWorker(int status, std::string_view body) {
+  WorkerReply reply;
+  reply.status = status;
+  if (status == 200 || status == 409) {
+    reply.report = DecodeReport(body).value;
+  }
+  return reply;
+}
+
+}  // namespace pitchfall::wire
--- /dev/null
+++ b/src/wire/records.cc
@@ -0,0 +1,276 @@
+// Records as they lie in the state service. Field names are short: the
+// service's limits are counted in bytes.
+#include <charconv>
+#include <utility>
+
+#include "wire/records.h"
+
+namespace pitchfall::wire {
+namespace {
+
+constexpr double kMostAmount = 1e12;
+
+void PackResources(Packer& out, const Resources& r) {
+  out.List(3).Value(r.cpus).Value(r.gpus).Value(r.memory);
+}
+
+int64_t AsInteger(const msgpack::object& value, std::string_view key) {
+  if (value.type == msgpack::type::POSITIVE_INTEGER) {
+    if (value.via.u64 > INT64_MAX) Fields::Fail(key, "is too large");
+    return static_cast<int64_t>(value.via.u64);
+  }
+  if (value.type == msgpack::type::NEGATIVE_INTEGER) return value.via.i64;
+  Fields::Fail(key, "is not a whole number");
+}
+
+Resources ReadResources(const Fields& in, std::string_view key) {
+  const auto& list = in.List(key);
+  if (list.size != 3) Fields::Fail(key, "is not three numbers");
+  return {AsInteger(list.ptr[0], key), AsInteger(list.ptr[1], key),
+          AsInteger(list.ptr[2], key)};
+}
+
+Duration ReadDuration(const Fields& in, std::string_view key) {
+  return Duration(AsInteger(in.Get(key), key));
+}
+
+void PackTexts(Packer& out, const std::vector<std::string>& texts) {
+  out.List(texts.size());
+  for (const std::string& text : texts) out.Value(text);
+}
+
+std::vector<std::string> ReadTexts(const Fields& in, std::string_view key) {
+  std::vector<std::string> texts;
+  const auto& list = in.List(key);
+  for (uint32_t i = 0; i < list.size; ++i) {
+    texts.push_back(Fields::AsText(list.ptr[i], key));
+  }
+  return texts;
+}
+
+void Pack(Packer& out, const JobRecord& job) {
+  const JobSpec& spec = job.spec;
+  out.Map(23);
+  out.Pair("id", spec.id).Pair("class", spec.job_class).Pair("team", spec.team);
+  out.Pair("prio", static_cast<int>(spec.priority)).Pair("tasks", spec.tasks);
+  PackResources(out.Key("need"), spec.need);
+  out.Pair("image", spec.image).Pair("image_gb", spec.image_gb);
+  out.Key("types");
+  if (spec.types) {
+    PackTexts(out, *spec.types);
+  } else {
+    out.Null();
+  }
+  out.Pair("zone", spec.zone).Pair("one", spec.one_zone);
+  out.Pair("spread", spec.spread).Pair("spot", spec.spot);
+  out.Pair("est", spec.estimate.count());
+  out.Pair("ckpt", spec.checkpoint.count()).Pair("save", spec.save.count());
+  out.Key("due");
+  if (spec.deadline) {
+    out.Value(spec.deadline->count());
+  } else {
+    out.Null();
+  }
+  out.Pair("state", static_cast<int>(job.state));
+  out.Pair("at", job.submitted.time_since_epoch().count());
+  out.Pair("chunk", job.chunk_size).Pair("home", job.home);
+  out.Pair("over", job.spread_over).Pair("v", 1);
+}
+
+JobRecord ReadJob(const Fields& in) {
+  JobRecord job;
+  JobSpec& spec = job.spec;
+  spec.id = in.Text("id");
+  spec.job_class = in.Text("class");
+  spec.team = in.Text("team");
+  spec.priority = static_cast<Priority>(in.Count("prio", 3));
+  spec.tasks = static_cast<uint32_t>(in.Count("tasks", UINT32_MAX));
+  spec.need = ReadResources(in, "need");
+  spec.image = in.Text("image");
+  spec.image_gb = in.Amount("image_gb", kMostAmount);
+  if (in.Find("types") != nullptr) spec.types = ReadTexts(in, "types");
+  spec.zone = in.Text("zone");
+  spec.one_zone = in.Flag("one");
+  spec.spread = in.Flag("spread");
+  spec.spot = in.Flag("spot");
+  spec.estimate = ReadDuration(in, "est");
+  spec.checkpoint = ReadDuration(in, "ckpt");
+  spec.save = ReadDuration(in, "save");
+  if (in.Find("due") != nullptr) spec.deadline = ReadDuration(in, "due");
+  job.state = static_cast<JobState>(in.Count("state", 2));
+  job.submitted = WallTime(ReadDuration(in, "at"));
+  job.chunk_size = static_cast<uint32_t>(in.Count("chunk", UINT32_MAX));
+  if (job.chunk_size == 0) Fields::Fail("chunk", "is 0");
+  job.home = static_cast<uint32_t>(in.Count("home", UINT32_MAX));
+  job.spread_over = static_cast<uint32_t>(in.Count("over", UINT32_MAX));
+  return job;
+}
+
+void Pack(Packer& out, const ChunkRecord& chunk) {
+  out.Map(4).Pair("part", chunk.part).Pair("next", chunk.next_attempt);
+  out.Key("done").List(chunk.done.iterative_size() * 2);
+  for (const auto& range : chunk.done) {
+    out.Value(boost::icl::first(range)).Value(boost::icl::last(range));
+  }
+  // Tries of one machine and number together, as ranges of tasks.
+  std::map<std::pair<std::string, uint32_t>, TaskSet> groups;
+  for (const Assignment& assignment : chunk.assigned) {
+    AddTask(groups[{assignment.machine, assignment.attempt}], assignment.task);
+  }
+  out.Key("on").List(groups.size());
+  for (const auto& [group, tasks] : groups) {
+    out.List(2 + tasks.iterative_size() * 2);
+    out.Value(group.first).Value(group.second);
+    for (const auto& range : tasks) {
+      out.Value(boost::icl::first(range)).Value(boost::icl::last(range));
+    }
+  }
+}
+
+// Ranges stand as pairs of first and last task.
+TaskSet ReadRanges(const msgpack::object_array& list, uint32_t from,
+                   std::string_view key) {
+  TaskSet tasks;
+  if ((list.size - from) % 2 != 0) Fields::Fail(key, "has half a range");
+  for (uint32_t i = from; i + 1 < list.size; i += 2) {
+    auto first = Fields::AsCount(list.ptr[i], key, UINT32_MAX - 1);
+    auto last = Fields::AsCount(list.ptr[i + 1], key, UINT32_MAX - 1);
+    tasks += TaskSet::interval_type::right_open(
+        static_cast<uint32_t>(first), static_cast<uint32_t>(last + 1));
+  }
+  return tasks;
+}
+
+ChunkRecord ReadChunk(const Fields& in) {
+  ChunkRecord chunk;
+  chunk.part = static_cast<uint32_t>(in.Count("part", UINT32_MAX));
+  chunk.next_attempt = static_cast<uint32_t>(in.Count("next", UINT32_MAX));
+  chunk.done = ReadRanges(in.List("done"), 0, "done");
+  const auto& groups = in.List("on");
+  for (uint32_t i = 0; i < groups.size; ++i) {
+    const msgpack::object& group = groups.ptr[i];
+    if (group.type != msgpack::type::ARRAY || group.via.array.size < 2) {
+      Fields::Fail("on", "is not a list of lists");
+    }
+    const auto& list = group.via.array;
+    std::string machine = Fields::AsText(list.ptr[0], "on");
+    auto attempt = static_cast<uint32_t>(
+        Fields::AsCount(list.ptr[1], "on", UINT32_MAX));
+    for (const auto& range : ReadRanges(list, 2, "on")) {
+      for (uint32_t t = boost::icl::first(range); t <= boost::icl::last(range);
+           ++t) {
+        chunk.assigned.push_back({t, attempt, machine});
+      }
+    }
+  }
+  return chunk;
+}
+
+void Pack(Packer& out, const NodeRecord& node) {
+  out.Map(2).Pair("label", node.label).Pair("life", node.life);
+}
+NodeRecord ReadNode(const Fields& in) {
+  return {in.Text("label"), in.Text("life")};
+}
+
+void Pack(Packer& out, const PartRecord& part) {
+  out.Map(3).Pair("label", part.label).Pair("life", part.life);
+  out.Pair("shun", part.shunned);
+}
+PartRecord ReadPart(const Fields& in) {
+  return {in.Text("label"), in.Text("life"), in.TextOr("shun", "")};
+}
+
+void Pack(Packer& out, const RentalRecord& rental) {
+  out.Map(6).Pair("type", rental.type).Pair("zone", rental.zone);
+  out.Pair("spot", rental.spot).Pair("count", rental.count);
+  out.Pair("at", rental.asked.time_since_epoch().count());
+  PackTexts(out.Key("got"), rental.machines);
+}
+RentalRecord ReadRental(const Fields& in) {
+  RentalRecord rental;
+  rental.type = in.Text("type");
+  rental.zone = in.Text("zone");
+  rental.spot = in.Flag("spot");
+  rental.count = static_cast<uint32_t>(in.Count("count", UINT32_MAX));
+  rental.asked = WallTime(ReadDuration(in, "at"));
+  rental.machines = ReadTexts(in, "got");
+  return rental;
+}
+
+void Pack(Packer& out, const TypesRecord& types) {
+  out.Map(1).Key("types").List(types.types.size());
+  for (const MachineType& type : types.types) {
+    out.Map(8).Pair("name", type.name);
+    PackResources(out.Key("size"), type.capacity);
+    out.Pair("cache", type.cache_gb).Pair("fetch", type.fetch_gb_per_s);
+    out.Pair("price", type.price).Pair("spot", type.spot_price);
+    out.Pair("boot", type.boot.count());
+    PackTexts(out.Key("zones"), type.zones);
+  }
+}
+TypesRecord ReadTypes(const Fields& in) {
+  TypesRecord types;
+  const auto& list = in.List("types");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    Fields row(list.ptr[i]);
+    MachineType type;
+    type.name = row.Text("name");
+    type.capacity = ReadResources(row, "size");
+    type.cache_gb = row.Amount("cache", kMostAmount);
+    type.fetch_gb_per_s = row.Amount("fetch", kMostAmount);
+    type.price = row.Amount("price", kMostAmount);
+    type.spot_price = row.Amount("spot", kMostAmount);
+    type.boot = ReadDuration(row, "boot");
+    type.zones = ReadTexts(row, "zones");
+    types.types.push_back(std::move(type));
+  }
+  return types;
+}
+
+void Pack(Packer& out, const TeamRecord& team) {
+  out.Map(1).Key("parts").List(team.parts.size());
+  for (const auto& part : team.parts) {
+    out.List(2).Value(part.cpus).Value(part.gpus);
+  }
+}
+TeamRecord ReadTeam(const Fields& in) {
+  TeamRecord team;
+  const auto& list = in.List("parts");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    const msgpack::object& row = list.ptr[i];
+    if (row.type != msgpack::type::ARRAY || row.via.array.size != 2) {
+      Fields::Fail("parts", "is not a list of pairs");
+    }
+    team.parts.push_back({AsInteger(row.via.array.ptr[0], "parts"),
+                          AsInteger(row.via.array.ptr[1], "parts")});
+  }
+  return team;
+}
+
+void Pack(Packer& out, const DrainRecord& drain) {
+  PackTexts(out.Map(1).Key("machines"), drain.machines);
+}
+DrainRecord ReadDrain(const Fields& in) { return {ReadTexts(in, "machines")}; }
+
+}  // namespace
+
+void PackRecord(Packer& out, const Record& record) {
+  std::visit([&](const auto& r) { Pack(out, r); }, record);
+}
+
+std::optional<Record> ReadRecord(std::string_view key,
+                                 const msgpack::object& value) {
+  Fields in(value);
+  if (key.starts_with(keys::kJobs)) return ReadJob(in);
+  if (key.starts_with(keys::kRuns)) return ReadChunk(in);
+  if (key.starts_with(keys::kNodes)) return ReadNode(in);
+  if (key.starts_with(keys::kParts)) return ReadPart(in);
+  if (key.starts_with(keys::kRentals)) return ReadRental(in);
+  if (key.starts_with(keys::kTeams)) return ReadTeam(in);
+  if (key == keys::kTypes) return ReadTypes(in);
+  if (key == keys::kDrain) return ReadDrain(in);
+  return std::nullopt;
+}
+
+}  // namespace pitchfall::wire
