--- /dev/null
+++ b/tests/sim/world.cc
@@ -0,0 +1,717 @@
+#include "sim/world.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "wire/codec.h"
+#include "wire/pack.h"
+
+namespace pitchfall::sim {
+namespace {
+
+constexpr Duration kTick = Millis(25);
+constexpr size_t kNodes = 3;
+constexpr Duration kReportWait = Millis(4000);
+
+Deployment MakeDeployment(const WorldConfig& config) {
+  Deployment d;
+  d.state_rps = 200;
+  d.state_writes = 60;
+  d.value_kb = 8;
+  d.txn_ops = 8;
+  d.cloud_rps = 8;
+  d.list_lag = Seconds(2);
+  d.report = Seconds(1);
+  d.worker_lease = Seconds(6);
+  d.cancel = Seconds(20);
+  d.zones = {"a", "b"};
+  for (const char* name : {"red", "blue"}) {
+    Team team;
+    team.name = name;
+    team.cpus_guaranteed = Resources::FromDecimal(4);
+    team.cpus_limit = Resources::FromDecimal(config.team_limit);
+    d.teams[name] = team;
+  }
+  return d;
+}
+
+std::string Label(size_t index) { return fmt::format("node-{}", index); }
+
+}  // namespace
+
+struct World::Node {
+  size_t index = 0;
+  uint64_t life = 0;
+  std::unique_ptr<Controller> controller;
+  Duration skew{0};
+  SteadyTime state_cut_until{};
+  SteadyTime worker_cut_until{};
+  SteadyTime peer_cut_until{};
+  bool hold = false;  // cuts hold messages back instead of losing them
+  RequestId last_request = 0;
+  std::map<RequestId, OnAnswer> waiting;
+};
+
+struct World::Box {
+  std::unique_ptr<standins::Worker> worker;
+  std::string zone;
+  bool spot = false;
+  size_t node = 0;
+  uint64_t report_number = 0;
+  bool waiting = false;
+  SteadyTime next_report{};
+  SteadyTime last_report{};
+  bool dead = false;
+};
+
+struct World::JobModel {
+  JobSpec spec;
+  standins::TaskInfo info;
+  bool submitted = false;
+  bool accepted = false;
+  bool asked_cancel = false;
+  std::optional<SteadyTime> cancelled;
+  bool told_done = false;
+  std::set<uint32_t> finished;  // tasks that completed on some machine
+  bool final() const { return cancelled || told_done; }
+};
+
+World::World(WorldConfig config)
+    : config_(config),
+      random_(config.seed),
+      deployment_(MakeDeployment(config)),
+      state_(standins::StateService::Limits{8, 8, 10000}),
+      cloud_(standins::Cloud::Config{}) {
+  state_.ignore_conditions = config_.state_ignores_conditions;
+  cloud_.on_rent = [this](const standins::Cloud::Machine& machine) {
+    Duration boot = Between(1, 4);
+    if (Chance() < 0.05) return;  // never comes up
+    After(boot, [this, machine] {
+      if (cloud_.machines().contains(machine.name)) AddMachine(machine);
+    });
+  };
+  cloud_.on_delete = [this](const std::string& name) { machines_.erase(name); };
+  for (size_t i = 0; i < kNodes; ++i) {
+    nodes_.push_back(std::make_unique<Node>());
+    nodes_[i]->index = i;
+    nodes_[i]->skew = Between(0, 0.02);
+    StartNode(i);
+  }
+  for (int i = 0; i < config_.jobs; ++i) AddJob(i);
+  if (config_.trouble_every > Duration(0)) {
+    After(Between(5, 10), [this] { Trouble(); });
+  }
+}
+
+World::~World() {
+  nodes_.clear();
+  machines_.clear();
+}
+
+void World::Note(std::string what) {
+  log_.push_back(fmt::format("{:9.3f} {}", ToSeconds(now_ - SteadyTime{}),
+                             std::move(what)));
+}
+
+void World::Violation(const std::string& rule, const std::string& what) {
+  Note("BROKEN " + rule + ": " + what);
+  violations_.push_back(rule + ": " + what);
+}
+
+void World::After(Duration delay, std::function<void()> what) {
+  events_.push({now_ + delay, ++event_count_, std::move(what)});
+}
+
+void World::Run() {
+  SteadyTime end = now_ + config_.end;
+  while (!events_.empty() && events_.top().at <= end) {
+    Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.what();
+    CheckCancelled();
+  }
+}
+
+int World::accepted() const {
+  return static_cast<int>(std::count_if(
+      jobs_.begin(), jobs_.end(),
+      [](const auto& entry) { return entry.second->accepted; }));
+}
+
+int World::finished() const {
+  return static_cast<int>(std::count_if(
+      jobs_.begin(), jobs_.end(), [](const auto& entry) {
+        return entry.second->accepted && entry.second->final();
+      }));
+}
+
+// ---- Controllers ----
+
+Now World::ClockOf(const Node& node) const {
+  return {now_ + node.skew,
+          WallTime(now_.time_since_epoch() + Seconds(1e6) + node.skew)};
+}
+
+void World::StartNode(size_t index) {
+  Node& node = *nodes_[index];
+  ++node.life;
+  Deployment d = deployment_;
+  d.label = Label(index);
+  for (size_t i = 0; i < kNodes; ++i) {
+    if (i != index) d.peers.push_back({Label(i), ""});
+  }
+  Tuning tuning;
+  tuning.parts = config_.parts;
+  tuning.node_lease = Seconds(2);
+  tuning.chunk_tasks = 4;
+  node.controller = std::make_unique<Controller>(
+      d, tuning, fmt::format("{}x{}", index, node.life));
+  Note(fmt::format("node {} starts, life {}", index, node.life));
+  auto tick = std::make_shared<std::function<void(uint64_t)>>();
+  *tick = [this, index, tick](uint64_t life) {
+    Node& n = *nodes_[index];
+    if (n.life != life || !n.controller) return;
+    Deliver(index, life, Tick{});
+    After(kTick, [tick, life] { (*tick)(life); });
+  };
+  uint64_t life = node.life;
+  After(Duration(0), [tick, life] { (*tick)(life); });
+}
+
+void World::CrashNode(size_t index, Duration down) {
+  Node& node = *nodes_[index];
+  if (!node.controller) return;
+  Note(fmt::format("node {} crashes", index));
+  node.controller.reset();
+  node.waiting.clear();
+  After(down, [this, index] {
+    if (!nodes_[index]->controller) StartNode(index);
+  });
+}
+
+void World::Deliver(size_t index, uint64_t life, Command command) {
+  Node& node = *nodes_[index];
+  if (!node.controller || node.life != life) return;
+  std::vector<Command> batch{std::move(command)};
+  std::vector<Effect> effects =
+      node.controller->Handle(ClockOf(node), batch);
+  for (const Effect& effect : effects) Perform(node, effect);
+}
+
+void World::Perform(Node& node, const Effect& effect) {
+  if (const auto* reply = std::get_if<Reply>(&effect)) {
+    auto waiting = node.waiting.extract(reply->request);
+    if (!waiting.empty()) waiting.mapped()(*reply);
+  } else if (const auto* state = std::get_if<StateCall>(&effect)) {
+    PerformState(node, *state);
+  } else if (const auto* cloud = std::get_if<CloudCall>(&effect)) {
+    PerformCloud(node, *cloud);
+  } else if (const auto* worker = std::get_if<WorkerCall>(&effect)) {
+    PerformWorker(node, *worker);
+  } else if (const auto* hello = std::get_if<SendHello>(&effect)) {
+    for (size_t i = 0; i < kNodes; ++i) {
+      if (i == node.index || now_ < node.peer_cut_until ||
+          now_ < nodes_[i]->peer_cut_until) {
+        continue;
+      }
+      uint64_t life = nodes_[i]->life;
+      After(Hop(), [this, i, life, h = hello->hello] { Deliver(i, life, h); });
+    }
+  } else if (const auto* line = std::get_if<LogLine>(&effect)) {
+    if (line->level != LogLevel::kDebug) {
+      Note(fmt::format("  {}: {}", node.index, line->text));
+    }
+  }
+}
+
+void World::PerformState(Node& node, const StateCall& call) {
+  size_t index = node.index;
+  uint64_t life = node.life;
+  auto answered = std::make_shared<bool>(false);
+  auto answer = [this, index, life, call, answered](int status,
+                                                    std::string body) {
+    if (std::exchange(*answered, true)) return;
+    StateReply reply = wire::DecodeState(call.request, status, body);
+    reply.call = call.call;
+    Deliver(index, life, std::move(reply));
+  };
+  After(call.timeout, [answer] { answer(0, ""); });
+  wire::HttpRequest http = wire::EncodeState(call.request);
+  auto execute = [this, http] {
+    return state_.Handle(http.post ? "POST" : "GET", http.path, http.body,
+                         now_);
+  };
+  if (now_ < node.state_cut_until) {
+    // Held-back messages are carried out when the cut is over.
+    if (node.hold) {
+      After(node.state_cut_until - now_ + Hop(), [execute] { execute(); });
+    }
+    return;
+  }
+  double luck = Chance();
+  if (luck < config_.late_copy) {
+    After(Between(2, 15), [this, execute] {
+      if (!state_outage_) execute();
+    });
+    return;
+  }
+  bool lost = luck < config_.late_copy + config_.lost_reply;
+  After(Hop(), [this, execute, answer, lost, index] {
+    if (state_outage_) {
+      After(Hop(), [answer] { answer(503, ""); });
+      return;
+    }
+    standins::HttpReply reply = execute();
+    if (lost || now_ < nodes_[index]->state_cut_until) return;
+    After(Hop(), [answer, reply] { answer(reply.status, reply.body); });
+  });
+}
+
+void World::PerformCloud(Node& node, const CloudCall& call) {
+  size_t index = node.index;
+  uint64_t life = node.life;
+  auto answered = std::make_shared<bool>(false);
+  auto answer = [this, index, life, call, answered](int status,
+                                                    std::string body) {
+    if (std::exchange(*answered, true)) return;
+    CloudReply reply = wire::DecodeCloud(call.request, status, body);
+    reply.call = call.call;
+    Deliver(index, life, std::move(reply));
+  };
+  After(call.timeout, [answer] { answer(0, ""); });
+  wire::HttpRequest http = wire::EncodeCloud(call.request);
+  auto execute = [this, http] {
+    return cloud_.Handle(http.post ? "POST" : "GET", http.path, http.body,
+                         now_);
+  };
+  if (Chance() < config_.late_copy) {
+    After(Between(6, 20), [execute] { execute(); });
+    return;
+  }
+  After(Between(0.05, 0.3), [this, execute, answer] {
+    standins::HttpReply reply = execute();
+    After(Hop(), [answer, reply] { answer(reply.status, reply.body); });
+  });
+}
+
+void World::PerformWorker(Node& node, const WorkerCall& call) {
+  size_t index = node.index;
+  uint64_t life = node.life;
+  auto answered = std::make_shared<bool>(false);
+  auto answer = [this, index, life, call, answered](int status,
+                                                    std::string body) {
+    if (std::exchange(*answered, true)) return;
+    WorkerReply reply = wire::DecodeWorker(status, body);
+    reply.call = call.call;
+    Deliver(index, life, std::move(reply));
+  };
+  After(call.timeout, [answer] { answer(0, ""); });
+  wire::HttpRequest http = wire::EncodeWorker(call.request);
+  auto execute = [this, call, http]() -> std::optional<standins::HttpReply> {
+    for (auto& [name, box] : machines_) {
+      if (box->worker->config().address != call.address || box->dead) continue;
+      return box->worker->Handle(http.post ? "POST" : "GET", http.path,
+                                 http.body, now_);
+    }
+    return std::nullopt;
+  };
+  if (now_ < node.worker_cut_until) {
+    if (node.hold) {
+      After(node.worker_cut_until - now_ + Hop(), [execute] { execute(); });
+    }
+    return;
+  }
+  After(Hop(), [this, execute, answer] {
+    auto reply = execute();
+    if (!reply) return;
+    After(Hop(), [answer, reply] { answer(reply->status, reply->body); });
+  });
+}
+
+void World::Ask(size_t index, std::function<Command(RequestId)> make,
+                Duration timeout, bool worker, OnAnswer on_answer) {
+  auto answered = std::make_shared<bool>(false);
+  auto answer = [answered, on_answer](std::optional<Reply> reply) {
+    if (!std::exchange(*answered, true)) on_answer(std::move(reply));
+  };
+  After(timeout, [answer] { answer(std::nullopt); });
+  Node& node = *nodes_[index];
+  if (worker && now_ < node.worker_cut_until && !node.hold) return;
+  Duration held = worker && now_ < node.worker_cut_until
+                      ? node.worker_cut_until - now_
+                      : Duration(0);
+  After(held + Hop(), [this, index, make, answer, worker] {
+    Node& n = *nodes_[index];
+    if (!n.controller) return;
+    RequestId id = ++n.last_request;
+    n.waiting[id] = [this, index, answer, worker](std::optional<Reply> reply) {
+      if (worker && now_ < nodes_[index]->worker_cut_until) return;
+      After(Hop(), [answer, reply] { answer(reply); });
+    };
+    Deliver(index, n.life, make(id));
+  });
+}
+
+// ---- Machines ----
+
+void World::AddMachine(const standins::Cloud::Machine& machine) {
+  auto box = std::make_unique<Box>();
+  standins::Worker::Config config;
+  config.name = machine.name;
+  config.address = "addr-" + machine.name + ":1";
+  config.type = machine.type;
+  config.zone = machine.zone;
+  config.spot = machine.spot;
+  config.lease = deployment_.worker_lease;
+  config.sick = Chance() < 0.04;
+  config.ignores_tokens = config_.workers_ignore_tokens;
+  box->zone = machine.zone;
+  box->spot = machine.spot;
+  auto lookup = [this](const std::string& task)
+      -> std::optional<standins::TaskInfo> {
+    auto job = jobs_.find(task.substr(0, task.rfind('/')));
+    if (job == jobs_.end() || !job->second->submitted) return std::nullopt;
+    return job->second->info;
+  };
+  std::string name = machine.name;
+  auto observer = [this, name](const std::string& task,
+                               standins::Worker::TaskEvent event) {
+    OnTask(name, task, event);
+  };
+  box->worker = std::make_unique<standins::Worker>(config, lookup, observer,
+                                                   now_);
+  box->node = Pick(kNodes);
+  cloud_.SetStatus(name, "running", now_);
+  machines_[name] = std::move(box);
+  auto step = std::make_shared<std::function<void()>>();
+  *step = [this, name, step] {
+    auto it = machines_.find(name);
+    if (it == machines_.end() || it->second->dead) return;
+    Box& b = *it->second;
+    bool changed = b.worker->Advance(now_);
+    if (changed) {
+      b.next_report = std::min(b.next_report, b.last_report + Millis(500));
+    }
+    if (!b.waiting && !b.worker->hanging && now_ >= b.next_report) Report(name);
+    After(Millis(50), *step);
+  };
+  After(Duration(0), *step);
+}
+
+void World::Report(const std::string& name) {
+  Box& box = *machines_[name];
+  box.waiting = true;
+  box.last_report = now_;
+  uint64_t number = ++box.report_number;
+  uint64_t session = box.worker->session();
+  std::string body = box.worker->MakeReport(now_);
+  size_t target = box.node;
+  SteadyTime sent = now_;
+  auto make = [body](RequestId id) -> Command {
+    return CheckIn{id, *wire::DecodeReport(body).value};
+  };
+  if (Chance() < config_.late_report) {
+    // A copy that the network held back; its answer goes nowhere.
+    After(Between(1, 20), [this, target, make] {
+      Ask(target, make, kReportWait, true, [](std::optional<Reply>) {});
+    });
+  }
+  Ask(target, make, kReportWait, true,
+      [this, name, number, session, sent](std::optional<Reply> reply) {
+        auto it = machines_.find(name);
+        if (it == machines_.end() || it->second->report_number != number) {
+          return;
+        }
+        Box& b = *it->second;
+        b.waiting = false;
+        b.next_report = now_ + Between(0.75, 1.25);
+        if (reply && reply->status == 200) {
+          std::string answer = wire::EncodeReplyBody(reply->body);
+          b.worker->TakeAnswer(answer, sent, session, now_);
+          return;
+        }
+        b.next_report = now_ + Seconds(1);
+        size_t next = (b.node + 1) % kNodes;
+        if (reply && reply->status == 421) {
+          const auto* redirect = std::get_if<Redirect>(&reply->body);
+          for (size_t i = 0; i < kNodes; ++i) {
+            if (redirect != nullptr && redirect->owner == Label(i) &&
+                i != b.node) {
+              next = i;
+              b.next_report = now_ + Between(0, 0.5);
+            }
+          }
+        }
+        b.node = next;
+      });
+}
+
+void World::OnTask(const std::string& machine, const std::string& task,
+                   standins::Worker::TaskEvent event) {
+  std::set<std::string>& where = task_on_[task];
+  size_t slash = task.rfind('/');
+  JobModel& job = *jobs_.at(task.substr(0, slash));
+  if (event == standins::Worker::TaskEvent::kDone) {
+    job.finished.insert(
+        static_cast<uint32_t>(std::stoul(task.substr(slash + 1))));
+    return;
+  }
+  if (event == standins::Worker::TaskEvent::kOff) {
+    where.erase(machine);
+    return;
+  }
+  ++starts_;
+  if (!where.empty()) {
+    Violation("ran_twice", fmt::format("{} on {} and {}", task, machine,
+                                       *where.begin()));
+  }
+  where.insert(machine);
+  if (job.cancelled && now_ > *job.cancelled + deployment_.cancel) {
+    Violation("ran_cancelled", task + " starts");
+  }
+  // Quota and places, over all that is on a machine at this moment.
+  double cpus = 0;
+  std::map<std::string, uint32_t> zones;
+  for (const auto& [other, machines] : task_on_) {
+    if (machines.empty()) continue;
+    const JobModel& owner = *jobs_.at(other.substr(0, other.rfind('/')));
+    if (owner.spec.team == job.spec.team) {
+      cpus += owner.info.cpus * static_cast<double>(machines.size());
+    }
+    if (&owner != &job) continue;
+    for (const std::string& name : machines) {
+      zones[machines_.at(name)->zone] += 1;
+    }
+  }
+  if (cpus > config_.team_limit + 1e-9) {
+    Violation("quota", fmt::format("{} uses {}", job.spec.team, cpus));
+  }
+  const Box& box = *machines_.at(machine);
+  const JobSpec& spec = job.spec;
+  bool wrong = (box.spot && !spec.spot) ||
+               (!spec.zone.empty() && spec.zone != box.zone) ||
+               (spec.one_zone && zones.size() > 1) ||
+               (spec.spread && zones[box.zone] > (spec.tasks + 1) / 2);
+  if (wrong) Violation("wrong_place", task + " on " + machine);
+}
+
+void World::CheckCancelled() {
+  for (const auto& [task, machines] : task_on_) {
+    if (machines.empty()) continue;
+    const JobModel& job = *jobs_.at(task.substr(0, task.rfind('/')));
+    if (job.cancelled && now_ > *job.cancelled + deployment_.cancel) {
+      Violation("ran_cancelled", task + " on " + *machines.begin());
+      task_on_[task].clear();  // said once
+      return;
+    }
+  }
+}
+
+// ---- Users ----
+
+void World::AddJob(int number) {
+  auto job = std::make_unique<JobModel>();
+  JobSpec& spec = job->spec;
+  spec.id = fmt::format("run-{:06}", number);
+  spec.job_class = Chance() < 0.5 ? "fast" : "slow";
+  spec.team = Chance() < 0.5 ? "red" : "blue";
+  spec.priority = static_cast<Priority>(Pick(4));
+  spec.tasks = static_cast<uint32_t>(1 + Pick(Chance() < 0.2 ? 30 : 8));
+  job->info.cpus = static_cast<double>(1 + Pick(3));
+  job->info.memory_gb = 2.7;
+  job->info.image = fmt::format("img-{}", Pick(3));
+  job->info.fetch = Between(0.2, 2);
+  job->info.run = Between(1, 8);
+  job->info.saves = Chance() < 0.4;
+  job->info.save = job->info.saves ? Between(0.2, 1) : Duration(0);
+  spec.need = Resources::FromDecimals(job->info.cpus, 0, job->info.memory_gb);
+  spec.image = job->info.image;
+  spec.image_gb = 1;
+  spec.estimate = job->info.run;
+  spec.checkpoint = job->info.saves ? Seconds(2) : Duration(0);
+  spec.save = job->info.save;
+  spec.spot = true;
+  if (config_.constrained_jobs) {
+    spec.spot = Chance() < 0.8;
+    double luck = Chance();
+    if (luck < 0.1) spec.zone = "a";
+    if (luck > 0.85) spec.one_zone = true;
+    if (luck > 0.7 && luck < 0.85) spec.spread = true;
+  }
+  std::string id = spec.id;
+  bool cancel = Chance() < config_.cancel_share;
+  jobs_[id] = std::move(job);
+  After(Between(0.1, ToSeconds(config_.jobs_within)), [this, id, cancel] {
+    jobs_[id]->submitted = true;
+    TrySubmit(id, now_);
+    if (cancel) After(Between(1, 25), [this, id] { TryCancel(id); });
+  });
+}
+
+void World::CheckAnswer(JobModel& job, const JobAnswer& answer) {
+  const std::string& id = job.spec.id;
+  if (!job.submitted) Violation("invented", id);
+  using Status = JobAnswer::Status;
+  if (job.told_done && answer.status != Status::kDone) {
+    Violation("went_back", id + " was done");
+  }
+  if (job.cancelled && answer.status != Status::kCancelled) {
+    Violation("went_back", id + " was cancelled");
+  }
+  if (answer.status == Status::kCancelled) {
+    if (!job.asked_cancel) Violation("went_back", id + " cancelled by nobody");
+    if (!job.cancelled) job.cancelled = now_;
+  }
+  if (answer.status == Status::kDone) {
+    if (!job.told_done && job.finished.size() < job.spec.tasks) {
+      Violation("not_done", fmt::format("{}: {} of {}", id,
+                                        job.finished.size(), job.spec.tasks));
+    }
+    job.told_done = true;
+  }
+  job.accepted = true;
+}
+
+void World::TrySubmit(const std::string& id, SteadyTime since) {
+  JobModel& job = *jobs_[id];
+  auto make = [spec = job.spec](RequestId request) -> Command {
+    return SubmitJob{request, spec};
+  };
+  Ask(Pick(kNodes), make, Seconds(5), false,
+      [this, id, since](std::optional<Reply> reply) {
+        JobModel& j = *jobs_[id];
+        int status = reply ? reply->status : 0;
+        if (status == 200 || status == 201) {
+          bool first = !j.accepted;
+          CheckAnswer(j, std::get<JobAnswer>(reply->body));
+          if (first) After(Between(1, 5), [this, id] { TryPoll(id); });
+          // Now and then the answer is lost on a user, who asks again.
+          if (Chance() < 0.2) {
+            After(Between(1, 40), [this, id] { TrySubmit(id, now_); });
+          }
+          return;
+        }
+        if (status == 400 || status == 422) {
+          Violation("forgotten", fmt::format("{} answered {}", id, status));
+          return;
+        }
+        if (now_ - since < Seconds(60)) {
+          After(Between(1, 3), [this, id, since] { TrySubmit(id, since); });
+        }
+      });
+}
+
+void World::TryPoll(const std::string& id) {
+  Ask(Pick(kNodes), [id](RequestId request) -> Command {
+        return PollJob{request, id};
+      },
+      Seconds(2), false, [this, id](std::optional<Reply> reply) {
+        JobModel& job = *jobs_[id];
+        int status = reply ? reply->status : 0;
+        if (status == 200) {
+          CheckAnswer(job, std::get<JobAnswer>(reply->body));
+        } else if (status == 404) {
+          Violation("forgotten", id + " answered 404");
+        }
+        // Some go on asking after the end.
+        if (!job.final() || Chance() < 0.5) {
+          After(Between(2, 5), [this, id] { TryPoll(id); });
+        }
+      });
+}
+
+void World::TryCancel(const std::string& id) {
+  jobs_[id]->asked_cancel = true;
+  Ask(Pick(kNodes), [id](RequestId request) -> Command {
+        return CancelJob{request, id};
+      },
+      Seconds(5), false, [this, id](std::optional<Reply> reply) {
+        JobModel& job = *jobs_[id];
+        if (reply && reply->status == 200) {
+          CheckAnswer(job, std::get<JobAnswer>(reply->body));
+        } else if (reply && reply->status == 404 && job.accepted) {
+          Violation("forgotten", id + " cancel answered 404");
+        } else if (!reply || reply->status != 404) {
+          After(Between(1, 2), [this, id] { TryCancel(id); });
+        }
+      });
+}
+
+// ---- Troubles ----
+
+void World::Trouble() {
+  if (now_ - SteadyTime(Seconds(1000)) > config_.trouble_until) return;
+  size_t index = Pick(kNodes);
+  Node& node = *nodes_[index];
+  switch (Pick(9)) {
+    case 0:
+      CrashNode(index, Between(0.1, 4));
+      break;
+    case 1:
+      for (size_t i = 0; i < kNodes; ++i) CrashNode(i, Between(0.1, 4));
+      break;
+    case 2:
+      Note("the state service is away");
+      state_outage_ = true;
+      After(Between(1, 12), [this] {
+        state_outage_ = false;
+        state_.RenewAll(now_);
+        Note("the state service is back");
+      });
+      break;
+    case 3:
+      Note(fmt::format("node {} loses the state service", index));
+      node.hold = Chance() < 0.5;
+      node.state_cut_until = now_ + Between(1, 15);
+      break;
+    case 4:
+      Note(fmt::format("node {} loses the workers", index));
+      node.hold = Chance() < 0.5;
+      node.worker_cut_until = now_ + Between(1, 15);
+      break;
+    case 5:
+      Note(fmt::format("node {} loses the network", index));
+      node.hold = Chance() < 0.5;
+      node.state_cut_until = now_ + Between(1, 15);
+      node.worker_cut_until = node.state_cut_until;
+      node.peer_cut_until = node.state_cut_until;
+      break;
+    case 6:
+      if (!machines_.empty()) {
+        auto it = std::next(machines_.begin(),
+                            static_cast<ptrdiff_t>(Pick(machines_.size())));
+        std::string name = it->first;
+        Note(name + " dies");
+        machines_.erase(it);
+        After(Seconds(10), [this, name] {
+          cloud_.SetStatus(name, "failed", now_);
+        });
+      }
+      break;
+    case 7:
+      if (!machines_.empty()) {
+        auto it = std::next(machines_.begin(),
+                            static_cast<ptrdiff_t>(Pick(machines_.size())));
+        std::string name = it->first;
+        Note(name + " hangs");
+        it->second->worker->hanging = true;
+        After(Between(1, 12), [this, name] {
+          auto found = machines_.find(name);
+          if (found != machines_.end()) found->second->worker->hanging = false;
+        });
+      }
+      break;
+    default:
+      Note("the cloud is away");
+      cloud_.outage = true;
+      After(Between(1, 20), [this] { cloud_.outage = false; });
+      break;
+  }
+  double mean = ToSeconds(config_.trouble_every);
+  After(Between(0.2 * mean, 1.8 * mean), [this] { Trouble(); });
+}
+
+}  // namespace pitchfall::sim
--- /dev/null
+++ b/tests/sim/world.h
@@ -0,0 +1,143 @@
+// A small simulated deployment: real controllers (without their sockets),
+// stand-ins for everything around them, and a plain model of what is true. The
+// model watches every start and every answer, and knows the protocol's rules.
+//
+// Everything follows from the seed: one queue of events, no threads, no clocks.
+#ifndef PITCHFALL_TESTS_SIM_WORLD_H_
+#define PITCHFALL_TESTS_SIM_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/controller.h"
+#include "standins/cloud.h"
+#include "standins/state_service.h"
+#include "standins/worker.h"
+
+namespace pitchfall::sim {
+
+struct WorldConfig {
+  uint64_t seed = 1;
+  uint32_t parts = 0;  // as many as controllers
+  int jobs = 25;
+  Duration jobs_within = Seconds(60);
+  Duration trouble_until = Seconds(90);
+  Duration end = Seconds(240);
+  double cancel_share = 0.15;
+  // Probabilities for each message.
+  double lost_reply = 0.01;
+  double late_copy = 0.01;  // carried out seconds later, and nobody told
+  double late_report = 0.02;
+  // Mean time between troubles; zero: none.
+  Duration trouble_every = Seconds(8);
+  double team_limit = 12;
+  bool constrained_jobs = true;  // zones, spreading, machine kinds
+  // Faults put in on purpose, to show that the checks notice.
+  bool state_ignores_conditions = false;
+  bool workers_ignore_tokens = false;
+};
+
+class World {
+ public:
+  explicit World(WorldConfig config);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+
+  // Plays the whole schedule.
+  void Run();
+
+  const std::vector<std::string>& violations() const { return violations_; }
+  int accepted() const;
+  int finished() const;
+  int starts() const { return starts_; }
+  const std::vector<std::string>& log() const { return log_; }
+
+ private:
+  struct Node;
+  struct Box;  // a worker and its reporting
+  struct Sent;
+  struct JobModel;
+
+  SteadyTime now() const { return now_; }
+  Now ClockOf(const Node& node) const;
+  void After(Duration delay, std::function<void()> what);
+  double Chance() { return std::uniform_real_distribution<>(0, 1)(random_); }
+  Duration Between(double low_s, double high_s) {
+    return Seconds(std::uniform_real_distribution<>(low_s, high_s)(random_));
+  }
+  size_t Pick(size_t n) {
+    return std::uniform_int_distribution<size_t>(0, n - 1)(random_);
+  }
+  Duration Hop() { return Between(0.001, 0.01); }
+
+  // Controllers.
+  void StartNode(size_t index);
+  void CrashNode(size_t index, Duration down);
+  void Deliver(size_t index, uint64_t life, Command command);
+  void Perform(Node& node, const Effect& effect);
+  void PerformState(Node& node, const StateCall& call);
+  void PerformCloud(Node& node, const CloudCall& call);
+  void PerformWorker(Node& node, const WorkerCall& call);
+  // Asks a controller as a client would; the answer comes within `timeout` or
+  // never (none).
+  using OnAnswer = std::function<void(std::optional<Reply>)>;
+  void Ask(size_t index, std::function<Command(RequestId)> make,
+           Duration timeout, bool worker, OnAnswer on_answer);
+
+  // Machines.
+  void AddMachine(const standins::Cloud::Machine& machine);
+  void Report(const std::string& name);
+  void OnTask(const std::string& machine, const std::string& task,
+              standins::Worker::TaskEvent event);
+
+  // Users.
+  void AddJob(int number);
+  void TrySubmit(const std::string& id, SteadyTime since);
+  void TryPoll(const std::string& id);
+  void TryCancel(const std::string& id);
+  void CheckAnswer(JobModel& job, const JobAnswer& answer);
+
+  void Trouble();
+  void CheckCancelled();
+  void Violation(const std::string& rule, const std::string& what);
+  void Note(std::string what);
+
+  WorldConfig config_;
+  std::mt19937_64 random_;
+  SteadyTime now_{Seconds(1000)};
+  uint64_t event_count_ = 0;
+  struct Event {
+    SteadyTime at;
+    uint64_t number;
+    std::function<void()> what;
+    bool operator<(const Event& o) const {
+      return std::tie(at, number) > std::tie(o.at, o.number);
+    }
+  };
+  std::priority_queue<Event> events_;
+
+  Deployment deployment_;
+  standins::StateService state_;
+  standins::Cloud cloud_;
+  bool state_outage_ = false;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::map<std::string, std::unique_ptr<Box>> machines_;
+  std::map<std::string, std::unique_ptr<JobModel>> jobs_;
+  std::map<std::string, std::set<std::string>> task_on_;  // task -> machines
+  std::vector<std::string> violations_;
+  std::vector<std::string> log_;
+  int starts_ = 0;
+};
+
+}  // namespace pitchfall::sim
+
+#endif  // PITCHFALL_TESTS_SIM_WORLD_H_
--- /dev/null
+++ b/tests/standins/state_service.cc
@@ -0,0 +1,214 @@
+#include "standins/state_service.h"
+
+#include <algorithm>
+
+#include "wire/pack.h"
+
+namespace pitchfall::standins {
+
+using wire::Fields;
+using wire::Malformed;
+using wire::Message;
+using wire::Packer;
+
+namespace {
+
+constexpr size_t kItems = 100000;
+constexpr size_t kDepth = 32;
+constexpr size_t kMostTransaction = 64 * 1024;
+
+std::string Repack(const msgpack::object& value) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, value);
+  return {buffer.data(), buffer.size()};
+}
+
+HttpReply WithRevision(int status, uint64_t revision) {
+  Packer out;
+  out.Map(1).Pair("ledger", revision);
+  return {status, out.Take()};
+}
+
+}  // namespace
+
+HttpReply Error(int status, std::string_view what) {
+  Packer out;
+  out.Map(1).Pair("error", what);
+  return {status, out.Take()};
+}
+
+std::map<std::string, std::string> ParseQuery(const std::string& target) {
+  std::map<std::string, std::string> query;
+  size_t at = target.find('?');
+  while (at != std::string::npos) {
+    size_t next = target.find('&', at + 1);
+    std::string pair = target.substr(
+        at + 1, next == std::string::npos ? next : next - at - 1);
+    size_t equals = pair.find('=');
+    if (equals != std::string::npos) {
+      query[pair.substr(0, equals)] = pair.substr(equals + 1);
+    }
+    at = next;
+  }
+  return query;
+}
+
+void StateService::Expire(SteadyTime now) {
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (now < it->second.ends) {
+      ++it;
+      continue;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : entries_) {
+      if (entry.lease == it->first) keys.push_back(key);
+    }
+    if (!keys.empty()) ++revision_;
+    for (const std::string& key : keys) Drop(key);
+    it = leases_.erase(it);
+  }
+}
+
+void StateService::RenewAll(SteadyTime now) {
+  for (auto& [id, lease] : leases_) lease.ends = now + lease.ttl;
+}
+
+void StateService::Drop(const std::string& key) {
+  if (entries_.erase(key) > 0) log_.push_back({key, false, "", revision_});
+}
+
+HttpReply StateService::Handle(std::string_view method,
+                               const std::string& target,
+                               const std::string& body, SteadyTime now) {
+  Expire(now);
+  std::string path = target.substr(0, target.find('?'));
+  try {
+    if (method == "POST" && path == "/txn") return Transact(body, now);
+    if (method == "GET" && path == "/keys") return List(ParseQuery(target));
+    if (method == "GET" && path == "/watch") return Watch(ParseQuery(target));
+    if (method == "POST" && path == "/grants") {
+      Message message(body, kItems, kDepth);
+      uint64_t ttl = Fields(message.root()).Count("ttl_ms");
+      if (ttl < 100 || ttl > 600000) return Error(400, "ttl_ms");
+      Duration duration = Millis(static_cast<int64_t>(ttl));
+      leases_[++last_lease_] = {duration, now + duration};
+      Packer out;
+      out.Map(1).Pair("hold", last_lease_);
+      return {200, out.Take()};
+    }
+    if (method == "POST" && path.starts_with("/grants/")) {
+      auto lease = leases_.find(std::stoull(path.substr(8)));
+      if (lease == leases_.end()) return Error(404, "no such lease");
+      lease->second.ends = now + lease->second.ttl;
+      return {200, Packer().Map(0).Take()};
+    }
+  } catch (const Malformed& problem) {
+    return Error(400, problem.what());
+  }
+  return Error(404, "no such path");
+}
+
+HttpReply StateService::Transact(const std::string& body, SteadyTime) {
+  if (body.size() > kMostTransaction) return Error(400, "too large");
+  Message message(body, kItems, kDepth);
+  Fields in(message.root());
+  const auto& writes = in.List("writes");
+  const auto& conditions = in.List("if");
+  if (writes.size > limits_.txn_ops || conditions.size > 4 * limits_.txn_ops) {
+    return Error(400, "too many operations");
+  }
+  std::vector<std::string> failed;
+  for (uint32_t i = 0; i < conditions.size; ++i) {
+    Fields condition(conditions.ptr[i]);
+    std::string key = condition.Text("key");
+    auto entry = entries_.find(key);
+    uint64_t stamp = entry == entries_.end() ? 0 : entry->second.stamp;
+    if (stamp != condition.Count("stamp")) failed.push_back(key);
+  }
+  // A put that hangs on an expired lease is refused whatever the conditions.
+  for (uint32_t i = 0; i < writes.size; ++i) {
+    Fields write(writes.ptr[i]);
+    uint64_t lease = write.CountOr("hold", 0);
+    if (lease != 0 && !leases_.contains(lease)) {
+      return Error(400, "no such lease");
+    }
+    const msgpack::object* value = write.Find("v");
+    if (value != nullptr &&
+        static_cast<double>(Repack(*value).size()) > limits_.value_kb * 1024) {
+      return Error(400, "value too large");
+    }
+  }
+  if (!failed.empty() && !ignore_conditions) {
+    Packer out;
+    out.Map(2).Key("failed").List(failed.size());
+    for (const std::string& key : failed) out.Value(key);
+    out.Pair("ledger", revision_);
+    return {409, out.Take()};
+  }
+  if (writes.size > 0) ++revision_;
+  for (uint32_t i = 0; i < writes.size; ++i) {
+    Fields write(writes.ptr[i]);
+    if (write.Find("drop") != nullptr) {
+      Drop(write.Text("drop"));
+      continue;
+    }
+    std::string key = write.Text("put");
+    std::string value = Repack(write.Get("v"));
+    entries_[key] = {value, revision_, write.CountOr("hold", 0)};
+    log_.push_back({key, true, value, revision_});
+  }
+  return WithRevision(200, revision_);
+}
+
+HttpReply StateService::List(const std::map<std::string, std::string>& query) {
+  std::string prefix = query.contains("starts") ? query.at("starts") : "";
+  std::string after = query.contains("from") ? query.at("from") : "";
+  size_t most = query.contains("most") ? std::stoul(query.at("most")) : 1000;
+  std::vector<std::pair<std::string, Entry>> rows;
+  bool more = false;
+  for (const auto& [key, entry] : entries_) {
+    if (!key.starts_with(prefix) || key <= after) continue;
+    if (rows.size() >= most) {
+      more = true;
+      break;
+    }
+    rows.push_back({key, entry});
+  }
+  Packer out;
+  out.Map(3).Key("rows").List(rows.size());
+  for (const auto& [key, entry] : rows) {
+    out.Map(3).Pair("key", key).Key("v").Raw(entry.value);
+    out.Pair("stamp", entry.stamp);
+  }
+  out.Pair("has_next", more).Pair("ledger", revision_);
+  return {200, out.Take()};
+}
+
+HttpReply StateService::Watch(const std::map<std::string, std::string>& query) {
+  std::string prefix = query.contains("starts") ? query.at("starts") : "";
+  uint64_t from = query.contains("from") ? std::stoull(query.at("from")) : 0;
+  if (log_.size() > limits_.log_length) {
+    log_.erase(log_.begin(),
+               log_.end() - static_cast<ptrdiff_t>(limits_.log_length));
+    if (log_.front().stamp > from + 1) return Error(410, "too old");
+  }
+  std::vector<const Logged*> changes;
+  for (const Logged& change : log_) {
+    if (change.stamp > from && change.key.starts_with(prefix)) {
+      changes.push_back(&change);
+    }
+  }
+  Packer out;
+  out.Map(2).Pair("ledger", revision_).Key("log").List(changes.size());
+  for (const Logged* change : changes) {
+    if (change->put) {
+      out.Map(3).Pair("put", change->key).Key("v").Raw(change->value);
+    } else {
+      out.Map(2).Pair("drop", change->key);
+    }
+    out.Pair("stamp", change->stamp);
+  }
+  return {200, out.Take()};
+}
+
+}  // namespace pitchfall::standins
--- /dev/null
+++ b/tests/standins/worker.h
@@ -0,0 +1,99 @@
+// A stand-in for a worker, written from the protocol: one machine, its tasks,
+// its lease and the highest token it has seen.
+#ifndef PITCHFALL_TESTS_STANDINS_WORKER_H_
+#define PITCHFALL_TESTS_STANDINS_WORKER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "core/time.h"
+#include "standins/state_service.h"
+
+namespace pitchfall::standins {
+
+// What a worker learns of a job's task from its description.
+struct TaskInfo {
+  double cpus = 1;
+  double memory_gb = 1;
+  std::string image;
+  Duration fetch{0};
+  Duration run{0};
+  Duration save{0};
+  bool saves = false;
+};
+
+class Worker {
+ public:
+  struct Config {
+    std::string name;
+    std::string address;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    double cpus = 8;
+    double memory_gb = 32;
+    Duration lease{Millis(6000)};
+    bool sick = false;  // fails every task
+    bool ignores_tokens = false;  // a fault for tests of the tests
+  };
+  using Lookup = std::function<std::optional<TaskInfo>(const std::string&)>;
+  enum class TaskEvent { kOn, kOff, kDone };
+  // A task occupies the machine, does not any more, or has completed.
+  using Observer = std::function<void(const std::string& task, TaskEvent)>;
+
+  Worker(Config config, Lookup lookup, Observer observer, SteadyTime now);
+  ~Worker();
+  Worker(const Worker&) = delete;
+  Worker& operator=(const Worker&) = delete;
+
+  // Lets time pass. True if something has changed that wants a report.
+  bool Advance(SteadyTime now);
+  std::string MakeReport(SteadyTime now);
+  // The answer to the report made at `sent`; false if it had to be dropped.
+  bool TakeAnswer(const std::string& body, SteadyTime sent, uint64_t session,
+                  SteadyTime now);
+  HttpReply Handle(std::string_view method, const std::string& path,
+                   const std::string& body, SteadyTime now);
+
+  uint64_t session() const { return session_; }
+  uint64_t token() const { return token_; }
+  const Config& config() const { return config_; }
+  std::optional<Duration> notice;
+  bool hanging = false;
+
+ private:
+  struct Task {
+    std::string state;
+    std::string cause;
+    TaskInfo info;
+    SteadyTime next{};  // when its state changes by itself
+    bool saved = false;
+  };
+  using Key = std::pair<std::string, uint64_t>;  // task, attempt
+
+  void Execute(const std::string& body_orders, SteadyTime now);
+  void Start(const Key& key, SteadyTime now);
+  void Stop(const Key& key, Duration grace, SteadyTime now);
+  void Exit(Task& task, const Key& key, const std::string& cause);
+  void EndSession(SteadyTime now);
+
+  Config config_;
+  Lookup lookup_;
+  Observer observer_;
+  std::map<Key, Task> tasks_;
+  std::map<std::string, bool> finished_;
+  std::map<std::string, bool> images_;
+  uint64_t session_ = 1;
+  uint64_t seq_ = 0;
+  uint64_t token_ = 0;
+  SteadyTime lease_from_{};
+  bool changed_ = true;
+};
+
+}  // namespace pitchfall::standins
+
+#endif  // PITCHFALL_TESTS_STANDINS_WORKER_H_
