--- a/src/cli/tuning_file.cc
+++ b/src/cli/tuning_file.cc
@@ -37,6 +37,11 @@
     {"chunk-tasks", 1, 128, &Tuning::chunk_tasks},
     {"claim-delay", 0, 60, &Tuning::claim_delay},
     {"handover-after", 1, 3600, &Tuning::handover_after},
+    {"period", 1, 600, &Tuning::period},
+    {"horizon", 1, 20, &Tuning::horizon},
+    {"tracking-r", 0, 1000, &Tuning::tracking_r},
+    {"delay-price", 0, 1000, &Tuning::delay_price},
+    {"delay-bound", 0.1, 3600, &Tuning::delay_bound},
 };
 
 struct FreeSexp {
--- /dev/null
+++ b/src/core/demand.cc
@@ -0,0 +1,91 @@
+#include "core/demand.h"
+
+#include <algorithm>
+#include <map>
+
+#include "core/placement.h"
+
+namespace pitchfall {
+namespace {
+
+struct JobShare {
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+};
+
+// Tasks of the job that count for `part`.
+JobShare ShareOf(const Job& job, uint32_t parts, std::optional<uint32_t> part) {
+  if (!part) return {job.assigned, job.waiting()};
+  JobShare share;
+  for (uint32_t n = 0; n < job.record.chunk_count(); ++n) {
+    const Job::Chunk* chunk = job.FindChunk(n);
+    uint32_t tasks = job.chunk_end(n) - job.chunk_begin(n);
+    if (chunk == nullptr) {
+      if (job.home_of(n, parts) == *part) share.waiting += tasks;
+    } else if (chunk->record.part == *part) {
+      auto running = static_cast<uint32_t>(chunk->record.assigned.size());
+      share.running += running;
+      uint32_t busy = running + CountTasks(chunk->record.done);
+      share.waiting += tasks - std::min(tasks, busy);
+    }
+  }
+  return share;
+}
+
+}  // namespace
+
+Demand MeasureDemand(const Mirror& mirror, const Deployment& deployment,
+                     const std::set<std::string>& failing, uint32_t parts,
+                     std::optional<uint32_t> part) {
+  Demand demand;
+  std::map<std::string, Resources> used;
+  for (const auto& [id, job] : mirror.open_jobs()) {
+    used[job->spec().team] +=
+        job->spec().need * static_cast<int64_t>(job->assigned);
+  }
+  auto add = [&](const JobSpec& spec, int64_t tasks) {
+    demand.requested += spec.need * tasks;
+    if (!spec.spot) demand.ordinary_only += spec.need * tasks;
+  };
+  for (const Job* job : OrderJobs(mirror, deployment)) {
+    const JobSpec& spec = job->spec();
+    JobShare share = ShareOf(*job, parts, part);
+    add(spec, share.running);
+    if (job->waiting() == 0 || failing.contains(spec.id)) continue;
+    int64_t admissible = job->waiting();
+    auto team = deployment.teams.find(spec.team);
+    if (team != deployment.teams.end()) {
+      Resources& use = used[spec.team];
+      auto limit = [&](int64_t most, int64_t now, int64_t need) {
+        if (most > 0 && need > 0) {
+          admissible = std::min(admissible,
+                                std::max<int64_t>(0, most - now) / need);
+        }
+      };
+      limit(team->second.cpus_limit, use.cpus, spec.need.cpus);
+      limit(team->second.gpus_limit, use.gpus, spec.need.gpus);
+      use += spec.need * admissible;
+    }
+    // A part's share of what is admissible, rounded up.
+    int64_t mine = part ? (admissible * share.waiting + job->waiting() - 1) /
+                              job->waiting()
+                        : admissible;
+    if (mine == 0) continue;
+    add(spec, mine);
+    demand.waiting += static_cast<uint32_t>(mine);
+    demand.waiting_jobs.push_back(job);
+  }
+  return demand;
+}
+
+std::set<std::string> FailingJobs(const Mirror& mirror, uint32_t parts) {
+  std::set<std::string> failing;
+  for (uint32_t part = 0; part < parts; ++part) {
+    if (const auto* load = mirror.FindLoad(part)) {
+      failing.insert(load->value.failing.begin(), load->value.failing.end());
+    }
+  }
+  return failing;
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/demand.h
@@ -0,0 +1,36 @@
+// How much room the unfinished jobs ask for.
+#ifndef PITCHFALL_CORE_DEMAND_H_
+#define PITCHFALL_CORE_DEMAND_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/mirror.h"
+#include "core/settings.h"
+
+namespace pitchfall {
+
+struct Demand {
+  Resources requested;      // running and admissible waiting tasks
+  Resources ordinary_only;  // the share of it that no spot machine may run
+  uint32_t waiting = 0;     // admissible waiting tasks
+  std::vector<const Job*> waiting_jobs;
+};
+
+// Waiting tasks are admissible as far as their team's limit allows beside the
+// team's other tasks, in the order in which jobs get room. Jobs in `failing`
+// ask for nothing beyond what is running. With `part`, only the share of chunks
+// that this part has claimed or will be offered first.
+Demand MeasureDemand(const Mirror& mirror, const Deployment& deployment,
+                     const std::set<std::string>& failing, uint32_t parts,
+                     std::optional<uint32_t> part);
+
+// The jobs that the parts' newest reports call failing.
+std::set<std::string> FailingJobs(const Mirror& mirror, uint32_t parts);
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_DEMAND_H_
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -4,7 +4,8 @@
 #include <cmath>
 #include <utility>
 
-#include "core/hash.h"
+#include "core/sizing/forecast.h"
+#include "core/sizing/tracking.h"
 
 namespace pitchfall {
 namespace {
@@ -16,6 +17,7 @@
 // Deleting earlier than this saves nothing.
 constexpr Duration kMinimumCharge = Millis(60000);
 constexpr uint32_t kMostPerRental = 50;
+constexpr size_t kHistory = 40;
 
 }  // namespace
 
@@ -167,51 +169,89 @@
   return offers;
 }
 
-// Stands in for the design's sizing: the room asked for by all unfinished work,
-// in machines, rounded up.
-int Fleet::Wanted() {
-  Resources room;
-  std::map<std::string, Resources> teams;
-  for (const auto& [id, job] : context_.mirror.open_jobs()) {
-    if (job->record.final()) continue;
-    const JobSpec& spec = job->spec();
-    teams[spec.team] +=
-        spec.need * static_cast<int64_t>(spec.tasks - std::min(spec.tasks,
-                                                              job->done));
-  }
-  for (auto& [name, need] : teams) {
-    auto team = context_.deployment.teams.find(name);
-    if (team != context_.deployment.teams.end() &&
-        team->second.cpus_limit > 0 && need.cpus > team->second.cpus_limit) {
-      double share = static_cast<double>(team->second.cpus_limit) /
-                     static_cast<double>(need.cpus);
-      need.memory =
-          static_cast<int64_t>(static_cast<double>(need.memory) * share);
-      need.cpus = team->second.cpus_limit;
-    }
-    room += need;
-  }
+double Fleet::MachinesFor(const Resources& room) const {
   const MachineType& type = context_.mirror.types()->value.types.front();
   auto machines = [](int64_t need, int64_t size) {
     return size <= 0 ? 0.0
                      : static_cast<double>(need) / static_cast<double>(size);
   };
-  double most = std::max({machines(room.cpus, type.capacity.cpus),
-                          machines(room.gpus, type.capacity.gpus),
-                          machines(room.memory, type.capacity.memory)});
-  return static_cast<int>(std::ceil(most));
+  return std::max({machines(room.cpus, type.capacity.cpus),
+                   machines(room.gpus, type.capacity.gpus),
+                   machines(room.memory, type.capacity.memory)});
 }
 
-void Fleet::Resize() {
-  SteadyTime now = context_.now();
-  std::set<std::string> busy;
-  for (const auto& [id, job] : context_.mirror.open_jobs()) {
-    for (const auto& [number, chunk] : job->chunks) {
-      for (const Assignment& assignment : chunk.record.assigned) {
-        busy.insert(assignment.machine);
-      }
-    }
+// One point a period: the sum of what the parts report. A part whose report is
+// late counts with its last one; otherwise the sum would seem to drop.
+void Fleet::FollowPeriod() {
+  const auto& stored = context_.mirror.sizing();
+  if (history_.empty() && stored && last_period_ == 0) {
+    history_ = stored->value.history;
+    last_period_ = stored->value.period;
+  }
+  Duration wall = context_.out.now().wall.time_since_epoch();
+  auto period = static_cast<uint64_t>(wall / context_.tuning.period);
+  if (period <= last_period_ || storing_) return;
+  bool complete = true;
+  Resources used;
+  SizingRecord::Point point;
+  Duration waited{0};
+  uint32_t started = 0;
+  for (uint32_t part = 0; part < context_.parts; ++part) {
+    const auto* load = context_.mirror.FindLoad(part);
+    if (load == nullptr || load->value.period < period) complete = false;
+    if (load == nullptr) continue;
+    point.requested += load->value.requested;
+    used += load->value.used;
+    if (load->value.period < period) continue;
+    started += load->value.started;
+    waited += load->value.waited;
+  }
+  Duration into = wall % context_.tuning.period;
+  if (!complete && into < context_.tuning.period / 3) return;
+  last_period_ = period;
+  if (count_ > 0) point.utilisation = std::min(1.0, MachinesFor(used) / count_);
+  if (started > 0) point.delay = ToSeconds(waited) / started;
+  history_.push_back(point);
+  if (history_.size() > kHistory) history_.erase(history_.begin());
+
+  SizingRecord record;
+  record.period = period;
+  record.target = static_cast<uint32_t>(target_);
+  record.count = static_cast<uint32_t>(count_);
+  record.reason = reason_;
+  record.history = history_;
+  Transaction txn;
+  txn.writes.push_back({keys::kSizing, std::move(record), 0});
+  Store(std::move(txn), [](const StateReply&) {});
+}
+
+// The targets of the next periods. `room` receives w for now, in machines.
+std::vector<double> Fleet::Targets(const Demand& demand, double* room) const {
+  std::vector<double> series;
+  std::vector<sizing::DelayPoint> points;
+  for (const auto& point : history_) {
+    series.push_back(MachinesFor(point.requested));
+    if (point.delay >= 0) points.push_back({point.utilisation, point.delay});
   }
+  const MachineType& type = context_.mirror.types()->value.types.front();
+  *room = MachinesFor(demand.requested);
+  sizing::TargetInputs in;
+  in.waiting = demand.waiting;
+  in.delay_price = context_.tuning.delay_price;
+  in.rent = type.price * ToSeconds(context_.tuning.period) / 3600;
+  in.delay_bound = ToSeconds(context_.tuning.delay_bound);
+  in.curve = sizing::FitDelay(points, {1.0, 1.0});
+  std::vector<double> targets;
+  for (double forecast : sizing::Forecast(series, context_.tuning.horizon)) {
+    in.room = std::max(forecast, *room);
+    targets.push_back(
+        std::min<double>(sizing::Target(in), context_.tuning.max_machines));
+  }
+  return targets;
+}
+
+int Fleet::CountMachines(const std::set<std::string>& busy) {
+  SteadyTime now = context_.now();
   int count = 0;
   std::vector<std::string> broken;
   for (auto& [name, known] : machines_) {
@@ -232,85 +272,179 @@
     }
     ++count;
   }
-  if (!broken.empty() && context_.cloud.Take(now, 1)) {
-    for (const std::string& name : broken) {
-      context_.out.Log(LogLevel::kInfo, "event=delete machine={} reason={}",
-                       name,
-                       machines_[name].status == MachineStatus::kFailed
-                           ? "failed"
-                           : "boot_overdue");
-    }
-    context_.out.CallCloud(
-        DeleteMachines{broken}, context_.tuning.cloud_timeout,
-        [this, broken,
-         alive = std::weak_ptr<int>(alive_)](const CloudReply& reply) {
-          if (alive.expired() || reply.status != 200) return;
-          for (const std::string& name : broken) machines_.erase(name);
-        });
+  if (!broken.empty()) DeleteBroken(std::move(broken));
+  return count;
+}
+
+void Fleet::DeleteBroken(std::vector<std::string> names) {
+  if (!context_.cloud.Take(context_.now(), 1)) return;
+  if (names.size() > 100) names.resize(100);
+  for (const std::string& name : names) {
+    context_.out.Log(
+        LogLevel::kInfo, "event=delete machine={} reason={}", name,
+        machines_[name].status == MachineStatus::kFailed ? "failed"
+                                                         : "boot_overdue");
   }
+  context_.out.CallCloud(
+      DeleteMachines{names}, context_.tuning.cloud_timeout,
+      [this, names,
+       alive = std::weak_ptr<int>(alive_)](const CloudReply& reply) {
+        if (alive.expired() || reply.status != 200) return;
+        for (const std::string& name : names) machines_.erase(name);
+      });
+}
+
+int Fleet::Pending(bool ordinary_only) const {
   int pending = 0;
   for (const auto& [name, rental] : context_.mirror.rentals()) {
-    if (rental.value.machines.empty()) {
-      pending += static_cast<int>(rental.value.count);
+    if (!rental.value.machines.empty()) continue;
+    if (ordinary_only && rental.value.spot) continue;
+    pending += static_cast<int>(rental.value.count);
+  }
+  return pending;
+}
+
+void Fleet::Resize() {
+  SteadyTime now = context_.now();
+  FollowPeriod();
+  std::set<std::string> busy;
+  for (const auto& [id, job] : context_.mirror.open_jobs()) {
+    for (const auto& [number, chunk] : job->chunks) {
+      for (const Assignment& assignment : chunk.record.assigned) {
+        busy.insert(assignment.machine);
+      }
     }
   }
-  int target = std::min(Wanted(), static_cast<int>(context_.tuning.max_machines));
+  Demand demand = MeasureDemand(context_.mirror, context_.deployment,
+                                FailingJobs(context_.mirror, context_.parts),
+                                context_.parts, std::nullopt);
+  count_ = CountMachines(busy);
+  int count = count_ + Pending(false);
+  double room = 0;
+  std::vector<double> targets = Targets(demand, &room);
+  double move =
+      sizing::FirstMove(count, targets, 1.0, context_.tuning.tracking_r);
+  target_ = static_cast<int>(targets.front());
   context_.out.Log(LogLevel::kDebug,
-                   "event=size target={} count={} pending={} busy={}", target,
-                   count, pending, busy.size());
+                   "event=size target={} count={} room={:.2f} waiting={} "
+                   "move={:.2f} busy={}",
+                   target_, count, room, demand.waiting, move, busy.size());
   if (storing_) return;
-  if (target > count + pending) {
-    below_since_.reset();
-    for (const Offer& offer : OffersByPrice()) {
-      auto refused = refused_until_.find(offer);
-      if (refused != refused_until_.end() && now < refused->second) continue;
-      RentalRecord record;
-      record.type = offer.type;
-      record.zone = offer.zone;
-      record.spot = offer.spot;
-      record.count = std::min<uint32_t>(
-          kMostPerRental, static_cast<uint32_t>(target - count - pending));
-      record.asked = context_.out.now().wall;
-      std::string name = "r-" + std::to_string(token_) + "-" +
-                         std::to_string(++rentals_made_);
-      Transaction txn;
-      txn.conditions.push_back({keys::Rental(name), 0});
-      txn.writes.push_back({keys::Rental(name), std::move(record), 0});
-      context_.out.Log(LogLevel::kInfo,
-                       "event=rent name={} type={} zone={} spot={} count={} "
-                       "target={} have={}",
-                       name, offer.type, offer.zone, offer.spot,
-                       target - count - pending, target, count);
-      Store(std::move(txn), [](const StateReply&) {});
+  if (move > 1e-6) {
+    above_since_.reset();
+    RentMore(static_cast<int>(std::ceil(move - 1e-6)), demand, false);
+    return;
+  }
+  // Jobs that must not run on spot machines need enough of the others, and
+  // every job at least one machine that it may run on.
+  int ordinary = Pending(true);
+  for (const auto& [name, known] : machines_) {
+    if (!known.offer.spot && !Draining(name)) ++ordinary;
+  }
+  double needed = MachinesFor(demand.ordinary_only);
+  if (needed > ordinary) {
+    RentMore(static_cast<int>(std::ceil(needed - ordinary)), demand, true);
+    return;
+  }
+  for (const Job* job : demand.waiting_jobs) {
+    const JobSpec& spec = job->spec();
+    bool served = false;
+    for (const auto& [name, known] : machines_) {
+      served |= !Draining(name) && known.status != MachineStatus::kFailed &&
+                Serves(spec, known.offer);
+    }
+    for (const auto& [name, rental] : context_.mirror.rentals()) {
+      served |= Serves(spec, {rental.value.type, rental.value.zone,
+                              rental.value.spot});
+    }
+    if (!served) {
+      RentFor(*job);
       return;
     }
-    return;
   }
-  if (target >= count) {
-    below_since_.reset();
+  int surplus = static_cast<int>(std::floor(-move + 1e-6));
+  if (surplus <= 0) {
+    above_since_.reset();
     return;
   }
-  if (!below_since_) below_since_ = now;
-  if (now - *below_since_ < context_.tuning.idle_before_return) return;
-  // Idle machines go first, the dearest before the others.
-  std::vector<std::pair<double, std::string>> idle;
+  if (!above_since_) above_since_ = now;
+  if (now - *above_since_ < context_.tuning.idle_before_return) return;
+  GiveBack(surplus, busy);
+}
+
+bool Fleet::Serves(const JobSpec& spec, const Offer& offer) const {
+  const MachineType* type = context_.mirror.FindType(offer.type);
+  return type != nullptr && spec.need.FitsIn(type->capacity) &&
+         spec.AllowsType(offer.type) && (spec.spot || !offer.spot) &&
+         (spec.zone.empty() || spec.zone == offer.zone);
+}
+
+bool Fleet::Ask(const Offer& offer, int count, std::string_view reason) {
+  auto refused = refused_until_.find(offer);
+  if (refused != refused_until_.end() && context_.now() < refused->second) {
+    return false;
+  }
+  RentalRecord record;
+  record.type = offer.type;
+  record.zone = offer.zone;
+  record.spot = offer.spot;
+  record.count = std::min(kMostPerRental, static_cast<uint32_t>(count));
+  record.asked = context_.out.now().wall;
+  std::string name =
+      fmt::format("r-{}-{}", token_, ++rentals_made_);
+  reason_ = reason;
+  context_.out.Log(LogLevel::kInfo,
+                   "event=rent name={} type={} zone={} spot={} count={} "
+                   "target={} have={} reason={}",
+                   name, offer.type, offer.zone, offer.spot, record.count,
+                   target_, count_, reason);
+  Transaction txn;
+  txn.conditions.push_back({keys::Rental(name), 0});
+  txn.writes.push_back({keys::Rental(name), std::move(record), 0});
+  Store(std::move(txn), [](const StateReply&) {});
+  return true;
+}
+
+// The cheapest offer that has not been refused lately.
+void Fleet::RentMore(int count, const Demand& demand, bool ordinary_only) {
+  bool spot_useful = demand.ordinary_only.cpus < demand.requested.cpus;
+  for (const Offer& offer : OffersByPrice()) {
+    if (offer.spot && (ordinary_only || !spot_useful)) continue;
+    if (Ask(offer, count, ordinary_only ? "ordinary" : "target")) return;
+  }
+}
+
+void Fleet::RentFor(const Job& job) {
+  for (const Offer& offer : OffersByPrice()) {
+    if (!Serves(job.spec(), offer)) continue;
+    if (Ask(offer, 1, "unserved")) return;
+  }
+}
+
+// Empty machines go first, the dearest before the others. Of busy ones those
+// with the fewest tasks; they get no new tasks and go when they are empty.
+void Fleet::GiveBack(int surplus, const std::set<std::string>& busy) {
+  SteadyTime now = context_.now();
+  std::vector<std::tuple<int, double, std::string>> choice;
   for (const auto& [name, known] : machines_) {
-    if (Draining(name) || busy.contains(name)) continue;
-    if (known.status != MachineStatus::kRunning) continue;
+    if (Draining(name) || known.status != MachineStatus::kRunning) continue;
     if (now - known.rented < kMinimumCharge) continue;
-    if (!known.idle_since ||
-        now - *known.idle_since < context_.tuning.idle_before_return) {
+    if (busy.contains(name)) continue;
+    if (now - known.idle_since.value_or(now) <
+        context_.tuning.idle_before_return) {
       continue;
     }
-    idle.push_back({-Price(known.offer), name});
+    choice.push_back({0, -Price(known.offer), name});
   }
-  std::sort(idle.begin(), idle.end());
+  std::sort(choice.begin(), choice.end());
   std::vector<std::string> names;
-  for (const auto& [price, name] : idle) {
-    if (static_cast<int>(names.size()) >= count - target) break;
+  for (const auto& [tasks, price, name] : choice) {
+    if (static_cast<int>(names.size()) >= surplus) break;
     names.push_back(name);
   }
-  if (!names.empty()) StoreDrain(names);
+  if (names.empty()) return;
+  reason_ = "surplus";
+  StoreDrain(names);
 }
 
 void Fleet::StoreDrain(const std::vector<std::string>& names) {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "core/context.h"
+#include "core/demand.h"
+#include "core/sizing/target.h"
 
 namespace pitchfall {
 
@@ -50,7 +52,18 @@
   void StoreTypes(TypesRecord types);
   double Price(const Offer& offer) const;
   std::vector<Offer> OffersByPrice() const;
-  int Wanted();
+  // Counts, targets and moves, once a second; the series once a period.
+  void FollowPeriod();
+  int CountMachines(const std::set<std::string>& busy);
+  void DeleteBroken(std::vector<std::string> names);
+  void RentMore(int count, const Demand& demand, bool ordinary_only);
+  void RentFor(const Job& job);
+  bool Ask(const Offer& offer, int count, std::string_view reason);
+  bool Serves(const JobSpec& spec, const Offer& offer) const;
+  void GiveBack(int surplus, const std::set<std::string>& busy);
+  double MachinesFor(const Resources& room) const;
+  std::vector<double> Targets(const Demand& demand, double* room) const;
+  int Pending(bool ordinary_only) const;
   bool Draining(const std::string& machine) const;
   void Store(Transaction txn, Outbox::StateHandler handler);
 
@@ -70,7 +83,12 @@
   SteadyTime next_types_{};
   SteadyTime next_list_{};
   SteadyTime next_resize_{};
-  std::optional<SteadyTime> below_since_;
+  std::optional<SteadyTime> above_since_;
+  std::vector<SizingRecord::Point> history_;
+  uint64_t last_period_ = 0;
+  int target_ = 0;
+  int count_ = 0;
+  std::string reason_ = "start";
 };
 
 }  // namespace pitchfall
--- a/src/core/mirror.cc
+++ b/src/core/mirror.cc
@@ -59,6 +59,10 @@
     ApplyTo(types_, change);
   } else if (change.key == keys::kDrain) {
     ApplyTo(drain_, change);
+  } else if (TakePrefix(rest, keys::kLoads)) {
+    ApplyTo(loads_, std::string(rest), change);
+  } else if (change.key == keys::kSizing) {
+    ApplyTo(sizing_, change);
   }
 }
 
@@ -168,6 +172,11 @@
   return it == parts_.end() ? nullptr : &it->second;
 }
 
+const Mirror::Versioned<LoadRecord>* Mirror::FindLoad(uint32_t part) const {
+  auto it = loads_.find(std::to_string(part));
+  return it == loads_.end() ? nullptr : &it->second;
+}
+
 const MachineType* Mirror::FindType(const std::string& name) const {
   if (!types_) return nullptr;
   for (const MachineType& type : types_->value.types) {
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -57,6 +57,10 @@
   const Versioned<PartRecord>* FindPart(uint32_t part) const;
   const std::optional<Versioned<TypesRecord>>& types() const { return types_; }
   const std::optional<Versioned<DrainRecord>>& drain() const { return drain_; }
+  const Versioned<LoadRecord>* FindLoad(uint32_t part) const;
+  const std::optional<Versioned<SizingRecord>>& sizing() const {
+    return sizing_;
+  }
   const MachineType* FindType(const std::string& name) const;
   bool NodeAlive(const PartRecord& owner) const;
 
@@ -89,6 +93,8 @@
   Table<TeamRecord> teams_;
   std::optional<Versioned<TypesRecord>> types_;
   std::optional<Versioned<DrainRecord>> drain_;
+  Table<LoadRecord> loads_;
+  std::optional<Versioned<SizingRecord>> sizing_;
   std::vector<ChunkListener*> listeners_;
 };
 
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "core/hash.h"
+#include "core/demand.h"
 
 namespace pitchfall {
 namespace {
@@ -528,6 +528,10 @@
     use.tasks[machine->zone] += 1;
     use.total += 1;
     draft.starts += 1;
+    auto since = waiting_since_.find(spec.id);
+    if (since != waiting_since_.end()) {
+      draft.waited += context_.now() - since->second;
+    }
   }
   return true;
 }
@@ -586,6 +590,28 @@
   waiting_since_ = std::move(waiting);
 }
 
+void Part::DraftLoad(Draft& draft) {
+  auto period = static_cast<uint64_t>(
+      context_.out.now().wall.time_since_epoch() / context_.tuning.period);
+  if (period <= reported_period_ || draft.size() >= draft_limit_) return;
+  LoadRecord load;
+  load.period = period;
+  for (const auto& [id, health] : job_health_) {
+    if (health.failed_on.size() >= kMachinesToBlameJob) {
+      load.failing.push_back(id);
+    }
+  }
+  Demand demand = MeasureDemand(context_.mirror, context_.deployment,
+                                {load.failing.begin(), load.failing.end()},
+                                context_.parts, number_);
+  load.requested = demand.requested;
+  load.waiting = demand.waiting;
+  for (const auto& [name, machine] : machines_) load.used += machine.used;
+  load.started = started_;
+  load.waited = waited_;
+  draft.load = std::move(load);
+}
+
 Transaction Part::MakeTransaction(const Draft& draft) const {
   Transaction txn;
   txn.conditions.push_back({keys::Part(number_), token_});
@@ -610,6 +636,9 @@
   for (const auto& [id, stamp] : jobs) {
     txn.conditions.push_back({keys::Job(id), stamp});
   }
+  if (draft.load) {
+    txn.writes.push_back({keys::Load(number_), *draft.load, 0});
+  }
   for (const auto& [name, record] : draft.teams) {
     auto stored = context_.mirror.teams().find(name);
     txn.conditions.push_back(
@@ -633,6 +662,7 @@
   if (draft_limit_ > 0) {
     DraftEnds(draft);
     DraftFinishedJobs(draft);
+    DraftLoad(draft);
     DraftStarts(draft);
     DraftCleanUp(draft);
     DraftGiveBack(draft);
@@ -727,6 +757,13 @@
 
 void Part::Remember(const Draft& draft) {
   SteadyTime now = context_.now();
+  if (draft.load) {
+    reported_period_ = draft.load->period;
+    started_ = 0;
+    waited_ = Duration(0);
+  }
+  started_ += draft.starts;
+  waited_ += draft.waited;
   for (const auto& [name, job] : draft.successes) {
     auto machine = machines_.find(name);
     if (machine != machines_.end()) machine->second.errors_in_a_row = 0;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -60,13 +60,16 @@
     std::map<ChunkKey, ChunkChange> chunks;
     std::map<std::string, TeamRecord> teams;
     std::set<std::string> done_jobs;
+    std::optional<LoadRecord> load;
+    Duration waited{0};  // of the tasks that start
     // What to remember of machines and jobs once it is stored.
     std::vector<std::pair<std::string, std::string>> failures;  // machine, job
     std::vector<std::pair<std::string, std::string>> successes;
     std::vector<std::pair<std::string, std::string>> refusals;
-    size_t starts = 0;
+    uint32_t starts = 0;
     size_t size() const {
-      return chunks.size() + teams.size() + done_jobs.size();
+      return chunks.size() + teams.size() + done_jobs.size() +
+             (load ? 1 : 0);
     }
   };
 
@@ -91,6 +94,8 @@
 
   void Plan();
   void RaiseFence();
+  // Adds this period's report to what is stored next.
+  void DraftLoad(Draft& draft);
   Draft::ChunkChange* Touch(Draft& draft, const Job& job, uint32_t chunk);
   void DraftEnds(Draft& draft);
   void DraftFinishedJobs(Draft& draft);
@@ -124,6 +129,11 @@
   std::map<std::string, SteadyTime> waiting_since_;  // by job
   std::map<std::string, SteadyTime> allotment_unused_since_;
 
+  // Since the last report.
+  uint64_t reported_period_ = 0;
+  uint32_t started_ = 0;
+  Duration waited_{0};
+
   uint64_t fence_ = 0;  // stamp of this ownership's fence key
   bool outcome_unknown_ = false;
   bool storing_ = false;
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -133,6 +133,33 @@
   std::vector<std::string> machines;
 };
 
+// What a part's owner reports once a period.
+struct LoadRecord {
+  uint64_t period = 0;
+  Resources requested;   // by running and admissible waiting tasks
+  Resources used;        // by what is bound to machines
+  uint32_t waiting = 0;  // admissible waiting tasks
+  // Of the tasks that started in this period.
+  uint32_t started = 0;
+  Duration waited{0};
+  // Jobs that fail on every machine; they ask for no room.
+  std::vector<std::string> failing;
+};
+
+// The leader's last decision, and what its successor needs to go on.
+struct SizingRecord {
+  struct Point {
+    Resources requested;
+    double utilisation = 0;
+    double delay = -1;  // seconds; negative: nothing started
+  };
+  uint64_t period = 0;
+  uint32_t target = 0;
+  uint32_t count = 0;
+  std::string reason;
+  std::vector<Point> history;  // one a period, the newest last
+};
+
 struct MachineType {
   std::string name;
   Resources capacity;
@@ -152,7 +179,8 @@
 };
 
 using Record = std::variant<JobRecord, ChunkRecord, NodeRecord, PartRecord,
-                            RentalRecord, TypesRecord, TeamRecord, DrainRecord>;
+                            RentalRecord, TypesRecord, TeamRecord, DrainRecord,
+                            LoadRecord, SizingRecord>;
 
 // Keys. Everything lies under one prefix, so that one watch sees it all in order.
 namespace keys {
@@ -165,6 +193,8 @@
 inline constexpr char kTeams[] = "pf/teams/";
 inline constexpr char kTypes[] = "pf/types";
 inline constexpr char kDrain[] = "pf/drain";
+inline constexpr char kLoads[] = "pf/loads/";
+inline constexpr char kSizing[] = "pf/sizing";
 
 inline std::string Job(const std::string& id) { return kJobs + id; }
 inline std::string Chunk(const std::string& id, uint32_t chunk) {
@@ -180,6 +210,7 @@
   return "pf/fences/" + std::to_string(part) + "." + std::to_string(token);
 }
 inline std::string Team(const std::string& name) { return kTeams + name; }
+inline std::string Load(uint32_t part) { return kLoads + std::to_string(part); }
 inline std::string Rental(const std::string& name) { return kRentals + name; }
 }  // namespace keys
 
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -69,6 +69,12 @@
   uint32_t chunk_tasks = 8;
   Duration claim_delay{Millis(1000)};
   Duration handover_after{Millis(10000)};
+  // Sizing.
+  Duration period{Millis(10000)};
+  uint32_t horizon = 3;
+  double tracking_r = 0.1;     // R, with Q = 1
+  double delay_price = 0.001;  // p: money a late second of one task
+  Duration delay_bound{Millis(10000)};
 };
 
 }  // namespace pitchfall
--- /dev/null
+++ b/src/core/sizing/forecast.cc
@@ -0,0 +1,94 @@
+#include "core/sizing/forecast.h"
+
+#include <Eigen/Dense>
+#include <algorithm>
+#include <cmath>
+
+namespace pitchfall::sizing {
+namespace {
+
+constexpr int kLongLags = 3;
+
+std::vector<double> Differences(std::span<const double> series) {
+  std::vector<double> d;
+  for (size_t i = 1; i < series.size(); ++i) {
+    d.push_back(series[i] - series[i - 1]);
+  }
+  return d;
+}
+
+// Residuals of an autoregression with kLongLags lags; 0 for the first ones.
+std::vector<double> LongErrors(const std::vector<double>& d) {
+  const int n = static_cast<int>(d.size());
+  Eigen::MatrixXd x(n - kLongLags, kLongLags + 1);
+  Eigen::VectorXd y(n - kLongLags);
+  for (int k = kLongLags; k < n; ++k) {
+    x(k - kLongLags, 0) = 1;
+    for (int lag = 1; lag <= kLongLags; ++lag) {
+      x(k - kLongLags, lag) = d[static_cast<size_t>(k - lag)];
+    }
+    y(k - kLongLags) = d[static_cast<size_t>(k)];
+  }
+  Eigen::VectorXd fitted = x * x.colPivHouseholderQr().solve(y);
+  std::vector<double> errors(d.size(), 0.0);
+  for (int k = kLongLags; k < n; ++k) {
+    errors[static_cast<size_t>(k)] = y(k - kLongLags) - fitted(k - kLongLags);
+  }
+  return errors;
+}
+
+}  // namespace
+
+ArimaFit FitArima(std::span<const double> series) {
+  ArimaFit fit;
+  if (series.size() < kLeastObservations) return fit;
+  auto [least, most] = std::minmax_element(series.begin(), series.end());
+  if (*most - *least <= 1e-9 * std::max(1.0, std::abs(*most))) return fit;
+
+  std::vector<double> d = Differences(series);
+  std::vector<double> errors = LongErrors(d);
+  const int first = kLongLags + 1;
+  const int n = static_cast<int>(d.size());
+  Eigen::MatrixXd x(n - first, 4);
+  Eigen::VectorXd y(n - first);
+  for (int k = first; k < n; ++k) {
+    auto at = static_cast<size_t>(k);
+    x.row(k - first) << 1, d[at - 1], d[at - 2], errors[at - 1];
+    y(k - first) = d[at];
+  }
+  Eigen::VectorXd beta = x.colPivHouseholderQr().solve(y);
+  fit.constant = beta(0);
+  fit.phi1 = beta(1);
+  fit.phi2 = beta(2);
+  fit.theta = beta(3);
+  fit.last_error = y(n - first - 1) - x.row(n - first - 1).dot(beta);
+  bool stationary = std::abs(fit.phi2) < 1 && fit.phi1 + fit.phi2 < 1 &&
+                    fit.phi2 - fit.phi1 < 1;
+  fit.usable = beta.allFinite() && stationary && std::abs(fit.theta) < 1;
+  return fit;
+}
+
+std::vector<double> Forecast(std::span<const double> series, size_t steps) {
+  if (series.empty()) return std::vector<double>(steps, 0.0);
+  std::vector<double> values(steps, series.back());
+  ArimaFit fit = FitArima(series);
+  if (!fit.usable) return values;
+  const double ceiling =
+      2 * *std::max_element(series.begin(), series.end());
+  size_t n = series.size();
+  double value = series[n - 1];
+  double d1 = series[n - 1] - series[n - 2];
+  double d2 = series[n - 2] - series[n - 3];
+  double error = fit.last_error;
+  for (double& next : values) {
+    double d = fit.constant + fit.phi1 * d1 + fit.phi2 * d2 + fit.theta * error;
+    error = 0;  // of the future nothing is known
+    d2 = d1;
+    d1 = d;
+    value += d;
+    next = std::clamp(value, 0.0, ceiling);
+  }
+  return values;
+}
+
+}  // namespace pitchfall::sizing
--- /dev/null
+++ b/src/core/sizing/target.cc
@@ -0,0 +1,59 @@
+#include "core/sizing/target.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pitchfall::sizing {
+namespace {
+
+constexpr double kFullest = 0.98;
+constexpr double kLeastSlope = 1e-3;
+
+double Load(double utilisation) {
+  double u = std::clamp(utilisation, 0.0, kFullest);
+  return u / (1 - u);
+}
+
+}  // namespace
+
+double DelayCurve::At(double utilisation) const {
+  return slope * Load(utilisation) + base;
+}
+
+DelayCurve FitDelay(std::span<const DelayPoint> points, DelayCurve fallback) {
+  if (points.size() < 3) return fallback;
+  double n = static_cast<double>(points.size());
+  double mean_x = 0;
+  double mean_y = 0;
+  for (const DelayPoint& p : points) {
+    mean_x += Load(p.utilisation) / n;
+    mean_y += p.delay / n;
+  }
+  double sxx = 0;
+  double sxy = 0;
+  for (const DelayPoint& p : points) {
+    double x = Load(p.utilisation) - mean_x;
+    sxx += x * x;
+    sxy += x * (p.delay - mean_y);
+  }
+  if (sxx < 1e-6) return fallback;
+  DelayCurve curve;
+  curve.slope = std::max(kLeastSlope, sxy / sxx);
+  curve.base = std::max(0.0, mean_y - curve.slope * mean_x);
+  return curve;
+}
+
+int Target(const TargetInputs& in) {
+  if (in.room <= 0) return 0;
+  double room = in.waiting * in.delay_price * in.curve.slope * in.room;
+  double target = in.room + std::sqrt(std::max(0.0, room / in.rent));
+  // d(U) = bound at U = (bound - b) / (a + bound - b).
+  double spare = in.delay_bound - in.curve.base;
+  double utilisation =
+      spare <= 0 ? 0.5 : std::max(0.5, spare / (in.curve.slope + spare));
+  target = std::min(target, in.room / utilisation);
+  // Whole machines, but not one more for a rounding error.
+  return static_cast<int>(std::ceil(target - 1e-9));
+}
+
+}  // namespace pitchfall::sizing
--- /dev/null
+++ b/src/core/sizing/target.h
@@ -0,0 +1,44 @@
+// How many machines there should be: the design's capped square-root target.
+//
+// Units: w and the target are machines; delays are seconds; p is money for each
+// second that one waiting task is late, over one period; rent is money for one
+// machine and period.
+#ifndef PITCHFALL_CORE_SIZING_TARGET_H_
+#define PITCHFALL_CORE_SIZING_TARGET_H_
+
+#include <span>
+
+namespace pitchfall::sizing {
+
+struct DelayPoint {
+  double utilisation = 0;  // of the most-loaded resource, 0 to 1
+  double delay = 0;        // mean wait of the tasks that started, seconds
+};
+
+// d(U) = slope * U / (1 - U) + base.
+struct DelayCurve {
+  double slope = 1;
+  double base = 0;
+  double At(double utilisation) const;
+};
+
+// Least squares over the points, with slope and base kept from going negative.
+// With fewer than three points, or all at one utilisation, `fallback`.
+DelayCurve FitDelay(std::span<const DelayPoint> points, DelayCurve fallback);
+
+struct TargetInputs {
+  double room = 0;            // w
+  double waiting = 0;         // N, admissible waiting tasks
+  double delay_price = 0;     // p
+  double rent = 1;            // c * E
+  double delay_bound = 10;    // seconds
+  DelayCurve curve;
+};
+
+// w + sqrt(N p a w / (c E)), at most w over the utilisation at which the fitted
+// delay meets the bound, rounded up.
+int Target(const TargetInputs& in);
+
+}  // namespace pitchfall::sizing
+
+#endif  // PITCHFALL_CORE_SIZING_TARGET_H_
--- a/src/wire/records.cc
+++ b/src/wire/records.cc
@@ -248,6 +248,60 @@
   return team;
 }
 
+void Pack(Packer& out, const LoadRecord& load) {
+  out.Map(7).Pair("period", load.period);
+  PackResources(out.Key("room"), load.requested);
+  PackResources(out.Key("used"), load.used);
+  out.Pair("waiting", load.waiting).Pair("started", load.started);
+  out.Pair("waited", load.waited.count());
+  PackTexts(out.Key("failing"), load.failing);
+}
+LoadRecord ReadLoad(const Fields& in) {
+  LoadRecord load;
+  load.period = in.Count("period");
+  load.requested = ReadResources(in, "room");
+  load.used = ReadResources(in, "used");
+  load.waiting = static_cast<uint32_t>(in.Count("waiting", UINT32_MAX));
+  load.started = static_cast<uint32_t>(in.Count("started", UINT32_MAX));
+  load.waited = ReadDuration(in, "waited");
+  load.failing = ReadTexts(in, "failing");
+  return load;
+}
+
+void Pack(Packer& out, const SizingRecord& sizing) {
+  out.Map(5).Pair("period", sizing.period).Pair("target", sizing.target);
+  out.Pair("count", sizing.count).Pair("reason", sizing.reason);
+  out.Key("history").List(sizing.history.size());
+  for (const auto& point : sizing.history) {
+    out.Map(3);
+    PackResources(out.Key("room"), point.requested);
+    out.Pair("u", point.utilisation);
+    out.Key("d");
+    if (point.delay < 0) {
+      out.Null();
+    } else {
+      out.Value(point.delay);
+    }
+  }
+}
+SizingRecord ReadSizing(const Fields& in) {
+  SizingRecord sizing;
+  sizing.period = in.Count("period");
+  sizing.target = static_cast<uint32_t>(in.Count("target", UINT32_MAX));
+  sizing.count = static_cast<uint32_t>(in.Count("count", UINT32_MAX));
+  sizing.reason = in.Text("reason");
+  const auto& list = in.List("history");
+  for (uint32_t i = 0; i < list.size; ++i) {
+    Fields row(list.ptr[i]);
+    SizingRecord::Point point;
+    point.requested = ReadResources(row, "room");
+    point.utilisation = row.Amount("u", kMostAmount);
+    point.delay = row.AmountOr("d", kMostAmount, -1);
+    sizing.history.push_back(point);
+  }
+  return sizing;
+}
+
 void Pack(Packer& out, const DrainRecord& drain) {
   PackTexts(out.Map(1).Key("machines"), drain.machines);
 }
@@ -270,6 +324,8 @@
   if (key.starts_with(keys::kTeams)) return ReadTeam(in);
   if (key == keys::kTypes) return ReadTypes(in);
   if (key == keys::kDrain) return ReadDrain(in);
+  if (key.starts_with(keys::kLoads)) return ReadLoad(in);
+  if (key == keys::kSizing) return ReadSizing(in);
   return std::nullopt;
 }
 
