--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -249,12 +249,12 @@
   return targets;
 }
 
-int Fleet::CountMachines(const std::set<std::string>& busy) {
+int Fleet::CountMachines(const Use& use) {
   SteadyTime now = context_.now();
   int count = 0;
   std::vector<std::string> broken;
   for (auto& [name, known] : machines_) {
-    if (busy.contains(name)) {
+    if (use.contains(name)) {
       known.worked = true;
       known.idle_since.reset();
     } else if (!known.idle_since) {
@@ -306,18 +306,18 @@
 void Fleet::Resize() {
   SteadyTime now = context_.now();
   FollowPeriod();
-  std::set<std::string> busy;
+  Use use;
   for (const auto& [id, job] : context_.mirror.open_jobs()) {
     for (const auto& [number, chunk] : job->chunks) {
       for (const Assignment& assignment : chunk.record.assigned) {
-        busy.insert(assignment.machine);
+        use[assignment.machine] += job->spec().need;
       }
     }
   }
   Demand demand = MeasureDemand(context_.mirror, context_.deployment,
                                 FailingJobs(context_.mirror, context_.parts),
                                 context_.parts, std::nullopt);
-  count_ = CountMachines(busy);
+  count_ = CountMachines(use);
   int count = count_ + Pending(false);
   double room = 0;
   std::vector<double> targets = Targets(demand, &room);
@@ -327,11 +327,12 @@
   context_.out.Log(LogLevel::kDebug,
                    "event=size target={} count={} room={:.2f} waiting={} "
                    "move={:.2f} busy={}",
-                   target_, count, room, demand.waiting, move, busy.size());
+                   target_, count, room, demand.waiting, move, use.size());
   if (storing_) return;
   if (move > 1e-6) {
     above_since_.reset();
-    RentMore(static_cast<int>(std::ceil(move - 1e-6)), demand, false);
+    int more = static_cast<int>(std::ceil(move - 1e-6));
+    if (KeepDraining(more) == 0) RentMore(more, demand, false);
     return;
   }
   // Jobs that must not run on spot machines need enough of the others, and
@@ -361,14 +362,14 @@
       return;
     }
   }
-  int surplus = static_cast<int>(std::floor(-move + 1e-6));
+  int surplus = static_cast<int>(std::lround(-move));
   if (surplus <= 0) {
     above_since_.reset();
     return;
   }
   if (!above_since_) above_since_ = now;
   if (now - *above_since_ < context_.tuning.idle_before_return) return;
-  GiveBack(surplus, busy);
+  GiveBack(surplus, use);
 }
 
 bool Fleet::Serves(const JobSpec& spec, const Offer& offer) const {
@@ -419,46 +420,75 @@
   }
 }
 
-// Empty machines go first, the dearest before the others. Of busy ones those
-// with the fewest tasks; they get no new tasks and go when they are empty.
-void Fleet::GiveBack(int surplus, const std::set<std::string>& busy) {
+// Empty machines go first, the dearest before the others. Of busy ones, which
+// get no new tasks and go when they are empty, those with the least on them.
+void Fleet::GiveBack(int surplus, const Use& use) {
   SteadyTime now = context_.now();
-  std::vector<std::tuple<int, double, std::string>> choice;
+  std::vector<std::tuple<int64_t, double, std::string>> choice;
   for (const auto& [name, known] : machines_) {
     if (Draining(name) || known.status != MachineStatus::kRunning) continue;
-    if (now - known.rented < kMinimumCharge) continue;
-    if (busy.contains(name)) continue;
-    if (now - known.idle_since.value_or(now) <
-        context_.tuning.idle_before_return) {
+    auto used = use.find(name);
+    bool empty = used == use.end();
+    // Before the least charge is used up returning it saves nothing.
+    if (empty && now - known.rented < kMinimumCharge) continue;
+    if (empty && now - known.idle_since.value_or(now) <
+                     context_.tuning.idle_before_return) {
       continue;
     }
-    choice.push_back({0, -Price(known.offer), name});
+    choice.push_back(
+        {empty ? 0 : used->second.cpus, -Price(known.offer), name});
   }
   std::sort(choice.begin(), choice.end());
   std::vector<std::string> names;
-  for (const auto& [tasks, price, name] : choice) {
+  for (const auto& [cpus, price, name] : choice) {
     if (static_cast<int>(names.size()) >= surplus) break;
     names.push_back(name);
   }
   if (names.empty()) return;
   reason_ = "surplus";
-  StoreDrain(names);
+  context_.out.Log(LogLevel::kInfo,
+                   "event=return machines={} target={} have={}", names.size(),
+                   target_, count_);
+  for (const std::string& name : context_.mirror.drain()
+                                     ? context_.mirror.drain()->value.machines
+                                     : std::vector<std::string>{}) {
+    names.push_back(name);
+  }
+  StoreDrain(std::move(names));
 }
 
-void Fleet::StoreDrain(const std::vector<std::string>& names) {
+// A machine that is still emptying is there at once and costs no boot.
+int Fleet::KeepDraining(int count) {
   const auto& stored = context_.mirror.drain();
-  DrainRecord record;
-  if (stored) {
-    // Machines that are gone need no mention any more.
-    for (const std::string& name : stored->value.machines) {
-      if (machines_.contains(name)) record.machines.push_back(name);
+  if (!stored) return 0;
+  std::vector<std::string> rest;
+  int kept = 0;
+  for (const std::string& name : stored->value.machines) {
+    auto known = machines_.find(name);
+    bool there = known != machines_.end() && !known->second.idle_since &&
+                 known->second.status == MachineStatus::kRunning;
+    if (there && kept < count) {
+      ++kept;
+    } else {
+      rest.push_back(name);
     }
   }
-  record.machines.insert(record.machines.end(), names.begin(), names.end());
+  if (kept == 0) return 0;
+  reason_ = "keep";
+  StoreDrain(std::move(rest));
+  return kept;
+}
+
+void Fleet::StoreDrain(std::vector<std::string> machines) {
+  const auto& stored = context_.mirror.drain();
+  // Machines that are gone need no mention any more.
+  std::erase_if(machines, [&](const std::string& name) {
+    return !machines_.contains(name);
+  });
   Transaction txn;
   txn.conditions.push_back({keys::kDrain, stored ? stored->stamp : 0});
-  txn.writes.push_back({keys::kDrain, std::move(record), 0});
-  context_.out.Log(LogLevel::kInfo, "event=return machines={}", names.size());
+  txn.writes.push_back(
+      {keys::kDrain, DrainRecord{std::move(machines)}, 0});
   Store(std::move(txn), [](const StateReply&) {});
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -48,19 +48,23 @@
   void Resize();
   void FollowRentals();
   void SendRental(const std::string& name, const RentalRecord& record);
-  void StoreDrain(const std::vector<std::string>& names);
+  void StoreDrain(std::vector<std::string> machines);
   void StoreTypes(TypesRecord types);
   double Price(const Offer& offer) const;
   std::vector<Offer> OffersByPrice() const;
   // Counts, targets and moves, once a second; the series once a period.
   void FollowPeriod();
-  int CountMachines(const std::set<std::string>& busy);
+  // What is bound to each machine.
+  using Use = std::map<std::string, Resources>;
+  int CountMachines(const Use& use);
   void DeleteBroken(std::vector<std::string> names);
   void RentMore(int count, const Demand& demand, bool ordinary_only);
   void RentFor(const Job& job);
   bool Ask(const Offer& offer, int count, std::string_view reason);
   bool Serves(const JobSpec& spec, const Offer& offer) const;
-  void GiveBack(int surplus, const std::set<std::string>& busy);
+  void GiveBack(int surplus, const Use& use);
+  // Keeps up to `count` machines that were chosen to go; how many.
+  int KeepDraining(int count);
   double MachinesFor(const Resources& room) const;
   std::vector<double> Targets(const Demand& demand, double* room) const;
   int Pending(bool ordinary_only) const;
--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -58,7 +58,8 @@
   RequestId waiting = 0;  // the request to answer
   SteadyTime waiting_since{};
 
-  bool drain = false;     // gets no new tasks
+  bool drain = false;     // chosen to go: gets no new tasks
+  bool sick = false;      // fails what it starts: the same
   bool deleting = false;  // deletion asked for; it may come any time now
   bool gone = false;      // proven
   std::optional<SteadyTime> taken_at;  // spot notice
@@ -72,8 +73,8 @@
 
   Resources Free() const { return capacity - used - stray_use - planned; }
   bool TakesTasks(SteadyTime now) const {
-    return report && token_seen && !drain && !deleting && !gone && !taken_at &&
-           now >= paused_until;
+    return report && token_seen && !drain && !sick && !deleting && !gone &&
+           !taken_at && now >= paused_until;
   }
 };
 
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -242,13 +242,16 @@
   const auto& drain = context_.mirror.drain();
   for (auto it = machines_.begin(); it != machines_.end();) {
     Machine& machine = it->second;
-    if (drain && !machine.drain &&
-        std::find(drain->value.machines.begin(), drain->value.machines.end(),
-                  machine.name) != drain->value.machines.end()) {
-      machine.drain = true;
+    bool chosen =
+        drain && std::find(drain->value.machines.begin(),
+                           drain->value.machines.end(),
+                           machine.name) != drain->value.machines.end();
+    if (chosen != machine.drain) {
+      machine.drain = chosen;
       dirty_ = true;
-      context_.out.Log(LogLevel::kInfo, "event=drain machine={} tasks={}",
-                       machine.name, machine.held.size());
+      context_.out.Log(LogLevel::kInfo, "event={} machine={} tasks={}",
+                       chosen ? "drain" : "keep", machine.name,
+                       machine.held.size());
     }
     if (!machine.gone && machine.token_seen && machine.waiting == 0 &&
         now - machine.last_answer > lease) {
@@ -301,7 +304,8 @@
         (believable &&
          silence(machine) > (unheard ? lease : 3 * report + Millis(2000))) ||
         silence(machine) > 3 * lease;
-    bool empty = machine.report && machine.drain && machine.held.empty() &&
+    bool empty = machine.report && (machine.drain || machine.sick) &&
+                 machine.held.empty() &&
                  machine.waiting == 0 && machine.report->tasks.empty();
     if (!lost && !empty && !machine.deleting) continue;
     if (!machine.deleting) {
@@ -852,8 +856,8 @@
 // A sick machine fails whatever it starts: it is emptied and returned.
 void Part::Quarantine(const std::string& name) {
   auto found = machines_.find(name);
-  if (found == machines_.end() || found->second.drain) return;
-  found->second.drain = true;
+  if (found == machines_.end() || found->second.sick) return;
+  found->second.sick = true;
   context_.out.Log(LogLevel::kWarning,
                    "event=quarantine machine={} errors={} jobs={}", name,
                    found->second.errors, found->second.error_jobs.size());
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -59,13 +59,14 @@
                        const std::vector<Machine*>& machines,
                        const std::set<std::string>& avoid) {
   Machine* best = nullptr;
-  std::tuple<int, int64_t> best_score;
+  std::tuple<int, int, int64_t> best_score;
   for (Machine* machine : machines) {
     Resources free = machine->Free();
     if (!spec.need.FitsIn(free) || avoid.contains(machine->name)) continue;
     if (!Allowed(spec, *machine, use)) continue;
-    std::tuple<int, int64_t> score{machine->images.contains(spec.image) ? 0 : 1,
-                                   free.cpus};
+    std::tuple<int, int, int64_t> score{
+        machine->images.contains(spec.image) ? 0 : 1, machine->spot ? 0 : 1,
+        free.cpus};
     if (best == nullptr || score < best_score) {
       best = machine;
       best_score = score;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -36,8 +36,8 @@
 bool Allowed(const JobSpec& spec, const Machine& machine, const ZoneUse& use);
 
 // The best machine with room for one task among `machines`, or null. Machines
-// that have the image come first, then the fullest, so that others run empty
-// and can be returned.
+// that have the image come first, then cheap ones, then the fullest, so that
+// dear and hardly used ones run empty and can be returned.
 // Machines in `avoid` are passed over.
 Machine* ChooseMachine(const JobSpec& spec, const ZoneUse& use,
                        const std::vector<Machine*>& machines,
--- a/tests/standins/worker.cc
+++ b/tests/standins/worker.cc
@@ -191,6 +191,7 @@
 void Worker::Stop(const Key& key, Duration grace, SteadyTime now) {
   auto it = tasks_.find(key);
   if (it == tasks_.end() || it->second.state == "exited") return;
+  if (config_.ignores_stops) return;
   Task& task = it->second;
   if (task.state == "running" && task.info.saves && grace >= task.info.save) {
     task.state = "flushing";
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -38,6 +38,7 @@
     double memory_gb = 32;
     Duration lease{Millis(6000)};
     bool sick = false;  // fails every task
+    bool ignores_stops = false;  // a fault for tests of the tests
   };
   using Lookup = std::function<std::optional<TaskInfo>(const std::string&)>;
   enum class TaskEvent { kOn, kOff, kDone };
