--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -369,7 +369,7 @@
   }
   if (!above_since_) above_since_ = now;
   if (now - *above_since_ < context_.tuning.idle_before_return) return;
-  GiveBack(surplus, use);
+  GiveBack(surplus, ordinary - static_cast<int>(std::ceil(needed)), use);
 }
 
 bool Fleet::Serves(const JobSpec& spec, const Offer& offer) const {
@@ -422,7 +422,7 @@
 
 // Empty machines go first, the dearest before the others. Of busy ones, which
 // get no new tasks and go when they are empty, those with the least on them.
-void Fleet::GiveBack(int surplus, const Use& use) {
+void Fleet::GiveBack(int surplus, int spare_ordinary, const Use& use) {
   SteadyTime now = context_.now();
   std::vector<std::tuple<int64_t, double, std::string>> choice;
   for (const auto& [name, known] : machines_) {
@@ -442,6 +442,10 @@
   std::vector<std::string> names;
   for (const auto& [cpus, price, name] : choice) {
     if (static_cast<int>(names.size()) >= surplus) break;
+    // Jobs that must not run on spot machines keep what they need.
+    bool ordinary = !machines_[name].offer.spot;
+    if (ordinary && spare_ordinary <= 0) continue;
+    if (ordinary) --spare_ordinary;
     names.push_back(name);
   }
   if (names.empty()) return;
@@ -487,8 +491,7 @@
   });
   Transaction txn;
   txn.conditions.push_back({keys::kDrain, stored ? stored->stamp : 0});
-  txn.writes.push_back(
-      {keys::kDrain, DrainRecord{std::move(machines)}, 0});
+  txn.writes.push_back({keys::kDrain, DrainRecord{std::move(machines)}, 0});
   Store(std::move(txn), [](const StateReply&) {});
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -62,7 +62,7 @@
   void RentFor(const Job& job);
   bool Ask(const Offer& offer, int count, std::string_view reason);
   bool Serves(const JobSpec& spec, const Offer& offer) const;
-  void GiveBack(int surplus, const Use& use);
+  void GiveBack(int surplus, int spare_ordinary, const Use& use);
   // Keeps up to `count` machines that were chosen to go; how many.
   int KeepDraining(int count);
   double MachinesFor(const Resources& room) const;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -243,9 +243,9 @@
   for (auto it = machines_.begin(); it != machines_.end();) {
     Machine& machine = it->second;
     bool chosen =
-        drain && std::find(drain->value.machines.begin(),
-                           drain->value.machines.end(),
-                           machine.name) != drain->value.machines.end();
+        drain &&
+        std::find(drain->value.machines.begin(), drain->value.machines.end(),
+                  machine.name) != drain->value.machines.end();
     if (chosen != machine.drain) {
       machine.drain = chosen;
       dirty_ = true;
@@ -305,8 +305,8 @@
          silence(machine) > (unheard ? lease : 3 * report + Millis(2000))) ||
         silence(machine) > 3 * lease;
     bool empty = machine.report && (machine.drain || machine.sick) &&
-                 machine.held.empty() &&
-                 machine.waiting == 0 && machine.report->tasks.empty();
+                 machine.held.empty() && machine.waiting == 0 &&
+                 machine.report->tasks.empty();
     if (!lost && !empty && !machine.deleting) continue;
     if (!machine.deleting) {
       context_.out.Log(LogLevel::kInfo,
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -12,33 +12,37 @@
   for (const auto& [id, job] : mirror.open_jobs()) {
     if (!job->record.final()) jobs.push_back(job);
   }
-  // A team's jobs are within its guarantee, oldest first, as long as they all
-  // fit into it together.
-  std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
-    return std::pair(a->record.submitted, a->spec().id) <
-           std::pair(b->record.submitted, b->spec().id);
-  });
-  std::map<std::string, int64_t> used;
+  // Within a team the more important jobs come first, and as long as they all
+  // fit into its guarantee together they need not wait for other teams.
+  auto own = [](const Job* job) {
+    const JobSpec& spec = job->spec();
+    int64_t submitted = job->record.submitted.time_since_epoch().count();
+    int64_t due = spec.deadline ? submitted + spec.deadline->count()
+                                : std::numeric_limits<int64_t>::max();
+    return std::tuple(-static_cast<int>(spec.priority), due, submitted);
+  };
   std::vector<std::pair<JobRank, const Job*>> ranked;
   ranked.reserve(jobs.size());
   for (const Job* job : jobs) {
+    auto [priority, due, submitted] = own(job);
+    ranked.push_back({JobRank{0, priority, due, submitted}, job});
+  }
+  auto by_rank = [](const auto& a, const auto& b) {
+    if (a.first != b.first) return a.first < b.first;
+    return a.second->spec().id < b.second->spec().id;
+  };
+  std::sort(ranked.begin(), ranked.end(), by_rank);
+  std::map<std::string, int64_t> used;
+  for (auto& [rank, job] : ranked) {
     const JobSpec& spec = job->spec();
     auto team = deployment.teams.find(spec.team);
     int64_t& cpus = used[spec.team];
     cpus += spec.need.cpus * static_cast<int64_t>(spec.tasks);
     bool guaranteed =
         team != deployment.teams.end() && cpus <= team->second.cpus_guaranteed;
-    int64_t submitted = job->record.submitted.time_since_epoch().count();
-    int64_t due = spec.deadline ? submitted + spec.deadline->count()
-                                : std::numeric_limits<int64_t>::max();
-    ranked.push_back({JobRank{guaranteed ? 0 : 1,
-                              -static_cast<int>(spec.priority), due, submitted},
-                      job});
+    std::get<0>(rank) = guaranteed ? 0 : 1;
   }
-  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-    if (a.first != b.first) return a.first < b.first;
-    return a.second->spec().id < b.second->spec().id;
-  });
+  std::sort(ranked.begin(), ranked.end(), by_rank);
   jobs.clear();
   for (const auto& [rank, job] : ranked) jobs.push_back(job);
   return jobs;
