--- a/src/core/demand.cc
+++ b/src/core/demand.cc
@@ -33,34 +33,68 @@
   return share;
 }
 
+Resources Scale(const Resources& r, double by) {
+  auto scale = [by](int64_t amount) {
+    return static_cast<int64_t>(static_cast<double>(amount) * by);
+  };
+  return {scale(r.cpus), scale(r.gpus), scale(r.memory)};
+}
+
+// A job that is late already presses little: nothing more can be missed.
+constexpr double kLatePressure = 0.3;
+
 }  // namespace
 
+double Pressure(const Job& job, WallTime now, const Deployment& deployment) {
+  const JobSpec& spec = job.spec();
+  double age = ToSeconds(now - job.record.submitted);
+  double run = std::max(1.0, ToSeconds(spec.estimate));
+  double left = -1;
+  auto consider = [&](double due) {
+    double rest = due - age;
+    if (rest > 0 && (left < 0 || rest < left)) left = rest;
+  };
+  bool bound = spec.deadline.has_value();
+  if (bound) consider(ToSeconds(*spec.deadline));
+  for (const Objective& objective : deployment.objectives) {
+    if (objective.job_class != spec.job_class) continue;
+    if (objective.kind == "finished") consider(ToSeconds(objective.within));
+    // Tasks that should start at once cannot wait for one another.
+    if (objective.kind == "wait") return 1;
+    bound = true;
+  }
+  if (!bound) return 1;
+  if (left < 0) return kLatePressure;
+  return std::min(1.0, run / left);
+}
+
 Demand MeasureDemand(const Mirror& mirror, const Deployment& deployment,
-                     const std::set<std::string>& failing, uint32_t parts,
-                     std::optional<uint32_t> part) {
+                     const std::set<std::string>& failing, WallTime now,
+                     uint32_t parts, std::optional<uint32_t> part) {
   Demand demand;
   std::map<std::string, Resources> used;
   for (const auto& [id, job] : mirror.open_jobs()) {
     used[job->spec().team] +=
         job->spec().need * static_cast<int64_t>(job->assigned);
   }
-  auto add = [&](const JobSpec& spec, int64_t tasks) {
-    demand.requested += spec.need * tasks;
-    if (!spec.spot) demand.ordinary_only += spec.need * tasks;
+  auto add = [&](const JobSpec& spec, int64_t tasks, double weight) {
+    Resources room = Scale(spec.need * tasks, weight);
+    demand.requested += room;
+    if (!spec.spot) demand.ordinary_only += room;
   };
   for (const Job* job : OrderJobs(mirror, deployment)) {
     const JobSpec& spec = job->spec();
     JobShare share = ShareOf(*job, parts, part);
-    add(spec, share.running);
+    add(spec, share.running, 1);
     if (job->waiting() == 0 || failing.contains(spec.id)) continue;
     int64_t admissible = job->waiting();
     auto team = deployment.teams.find(spec.team);
     if (team != deployment.teams.end()) {
       Resources& use = used[spec.team];
-      auto limit = [&](int64_t most, int64_t now, int64_t need) {
+      auto limit = [&](int64_t most, int64_t taken, int64_t need) {
         if (most > 0 && need > 0) {
           admissible =
-              std::min(admissible, std::max<int64_t>(0, most - now) / need);
+              std::min(admissible, std::max<int64_t>(0, most - taken) / need);
         }
       };
       limit(team->second.cpus_limit, use.cpus, spec.need.cpus);
@@ -72,7 +106,7 @@
                               job->waiting()
                         : admissible;
     if (mine == 0) continue;
-    add(spec, mine);
+    add(spec, mine, Pressure(*job, now, deployment));
     demand.waiting += static_cast<uint32_t>(mine);
     demand.waiting_jobs.push_back(job);
   }
--- a/src/core/demand.h
+++ b/src/core/demand.h
@@ -14,19 +14,26 @@
 namespace pitchfall {
 
 struct Demand {
-  Resources requested;      // running and admissible waiting tasks
+  // Running tasks, and waiting ones as far as they press.
+  Resources requested;
   Resources ordinary_only;  // the share of it that no spot machine may run
   uint32_t waiting = 0;     // admissible waiting tasks
   std::vector<const Job*> waiting_jobs;
 };
 
+// Which part of a job's waiting tasks must have room now if the job is to meet
+// what is expected of it: 1 if there is no time to lose, less if its tasks can
+// run one after another.
+double Pressure(const Job& job, WallTime now, const Deployment& deployment);
+
 // Waiting tasks are admissible as far as their team's limit allows beside the
 // team's other tasks, in the order in which jobs get room. Jobs in `failing`
-// ask for nothing beyond what is running. With `part`, only the share of chunks
+// ask for nothing beyond what is running. Each job's waiting tasks ask for room
+// in proportion to their pressure. With `part`, only the share of chunks
 // that this part has claimed or will be offered first.
 Demand MeasureDemand(const Mirror& mirror, const Deployment& deployment,
-                     const std::set<std::string>& failing, uint32_t parts,
-                     std::optional<uint32_t> part);
+                     const std::set<std::string>& failing, WallTime now,
+                     uint32_t parts, std::optional<uint32_t> part);
 
 // The jobs that the parts' newest reports call failing.
 std::set<std::string> FailingJobs(const Mirror& mirror, uint32_t parts);
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -314,9 +314,10 @@
       }
     }
   }
-  Demand demand = MeasureDemand(context_.mirror, context_.deployment,
-                                FailingJobs(context_.mirror, context_.parts),
-                                context_.parts, std::nullopt);
+  Demand demand =
+      MeasureDemand(context_.mirror, context_.deployment,
+                    FailingJobs(context_.mirror, context_.parts),
+                    context_.out.now().wall, context_.parts, std::nullopt);
   count_ = CountMachines(use);
   int count = count_ + Pending(false);
   double room = 0;
--- a/src/core/machines.cc
+++ b/src/core/machines.cc
@@ -72,7 +72,7 @@
     if (!known) {
       stops.push_back(
           {Order::Op::kStop, task.job, task.task, task.attempt, {}});
-    } else if (!policy.wanted(held->second) || held->second.stop) {
+    } else if (!policy.wanted(held->second) || held->second.stop()) {
       const JobSpec& spec = held->second.job->spec();
       bool save = policy.wanted(held->second) && spec.checkpoint.count() > 0;
       stops.push_back({Order::Op::kStop, task.job, task.task, task.attempt,
@@ -81,7 +81,7 @@
   }
   if (policy.may_start) {
     for (auto& [key, task] : machine.held) {
-      if (task.inherited || task.seen || task.stop || !policy.wanted(task) ||
+      if (task.inherited || task.seen || task.stop() || !policy.wanted(task) ||
           FindTry(report, key, task.attempt) != nullptr) {
         continue;
       }
--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -30,8 +30,10 @@
   bool seen = false;
   // Session and number of the report whose answer last carried the start.
   std::optional<std::pair<uint64_t, uint64_t>> start_sent;
-  // Told to stop, to make room or to empty the machine.
-  bool stop = false;
+  // To be stopped: before its machine is taken, or to make room.
+  bool leave = false;
+  bool preempted = false;
+  bool stop() const { return leave || preempted; }
   std::optional<TaskState> state;
 };
 
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -5,6 +5,7 @@
 
 #include "core/demand.h"
 #include "core/limits.h"
+#include "core/preemption.h"
 
 namespace pitchfall {
 namespace {
@@ -266,9 +267,9 @@
       Duration left = *machine.taken_at - now;
       for (auto& [key, task] : machine.held) {
         const JobSpec& spec = task.job->spec();
-        if (!task.stop && spec.checkpoint.count() > 0 &&
+        if (!task.leave && spec.checkpoint.count() > 0 &&
             left < spec.save + 2 * context_.deployment.report + Millis(2000)) {
-          task.stop = true;
+          task.leave = true;
         }
       }
     }
@@ -374,7 +375,7 @@
     if (!machine.report && !machine.gone) continue;
     bool open = machine.TakesTasks(now);
     for (auto& [key, task] : machine.held) {
-      bool wanted = Wanted(task) && !task.stop && open;
+      bool wanted = Wanted(task) && !task.stop() && open;
       Verdict verdict = Judge(machine, key, task, token_, wanted);
       if (verdict == Verdict::kHeld) continue;
       const Job& job = *task.job;
@@ -450,6 +451,7 @@
   if (found == context_.deployment.teams.end()) return false;
   const Team& team = found->second;
   if (team.cpus_limit == 0 && team.gpus_limit == 0) return true;
+  if (!LeavesReserved(spec)) return false;
   Resources use = team_use_[spec.team] + team_planned_[spec.team] + spec.need;
   TeamRecord record = TeamOf(draft, spec.team);
   TeamRecord::Allotment& mine = record.parts[number_];
@@ -483,7 +485,9 @@
       continue;
     }
     SteadyTime since = allotment_unused_since_.emplace(name, now).first->second;
-    if (now - since < kAllotmentRest) continue;
+    auto wanted = reserved_.lower_bound({name, Priority::kLow});
+    bool needed = wanted != reserved_.end() && wanted->first.first == name;
+    if (!needed && now - since < kAllotmentRest) continue;
     if (!draft.teams.contains(name) && draft.size() >= draft_limit_) return;
     mine.cpus = std::min(mine.cpus, use.cpus);
     mine.gpus = std::min(mine.gpus, use.gpus);
@@ -575,15 +579,53 @@
   }
 }
 
-void Part::DraftStarts(Draft& draft) {
+// What the mirror holds and this draft changes, of a team's use by all parts.
+Resources Part::TeamUseEverywhere(const std::string& team) const {
+  Resources use;
+  auto stored = team_use_everywhere_.find(team);
+  if (stored != team_use_everywhere_.end()) use += stored->second;
+  auto planned = team_planned_.find(team);
+  if (planned != team_planned_.end()) use += planned->second;
+  return use;
+}
+
+// Room that more important jobs of the team are waiting for, here or in other
+// parts, is not given to lesser ones.
+bool Part::LeavesReserved(const JobSpec& spec) const {
+  const Team& team = context_.deployment.teams.at(spec.team);
+  Resources use = TeamUseEverywhere(spec.team) + spec.need;
+  for (auto it = reserved_.upper_bound({spec.team, spec.priority});
+       it != reserved_.end() && it->first.first == spec.team; ++it) {
+    use += it->second;
+  }
+  return (team.cpus_limit == 0 || use.cpus <= team.cpus_limit) &&
+         (team.gpus_limit == 0 || use.gpus <= team.gpus_limit);
+}
+
+void Part::Preempt(const std::vector<const Job*>& jobs) {
+  std::set<Victim> victims =
+      ChooseVictims(context_.mirror, context_.deployment, jobs);
+  for (auto& [name, machine] : machines_) {
+    for (auto& [key, task] : machine.held) {
+      bool chosen = victims.contains({key.first, key.second, task.attempt});
+      if (chosen && !task.preempted) {
+        context_.out.Log(LogLevel::kInfo,
+                         "event=preempt job={} task={} machine={} team={}",
+                         key.first, key.second, name, task.job->spec().team);
+      }
+      task.preempted = chosen;
+    }
+  }
+}
+
+void Part::DraftStarts(Draft& draft, const std::vector<const Job*>& jobs) {
   SteadyTime now = context_.now();
   std::vector<Machine*> open;
   for (auto& [name, machine] : machines_) {
     if (machine.TakesTasks(now)) open.push_back(&machine);
   }
-  std::vector<const Job*> jobs =
-      OrderJobs(context_.mirror, context_.deployment);
   std::map<std::string, SteadyTime> waiting;
+  reserved_.clear();
   for (const Job* job : jobs) {
     const JobSpec& spec = job->spec();
     if (job->done + job->assigned >= spec.tasks) {
@@ -607,6 +649,7 @@
         }
       }
     }
+    uint32_t starts_before = draft.starts;
     bool placed_all = true;
     for (uint32_t chunk = 0; chunk < job->record.chunk_count(); ++chunk) {
       if (!MayServe(*job, chunk, overdue)) continue;
@@ -614,6 +657,9 @@
       if (!placed_all) break;
     }
     if (!placed_all && overdue) DraftReleases(draft, *job);
+    int64_t still =
+        static_cast<int64_t>(job->waiting()) - (draft.starts - starts_before);
+    if (still > 0) reserved_[{spec.team, spec.priority}] += spec.need * still;
   }
   waiting_since_ = std::move(waiting);
 }
@@ -629,9 +675,10 @@
       load.failing.push_back(id);
     }
   }
-  Demand demand = MeasureDemand(context_.mirror, context_.deployment,
-                                {load.failing.begin(), load.failing.end()},
-                                context_.parts, number_);
+  Demand demand =
+      MeasureDemand(context_.mirror, context_.deployment,
+                    {load.failing.begin(), load.failing.end()},
+                    context_.out.now().wall, context_.parts, number_);
   load.requested = demand.requested;
   load.waiting = demand.waiting;
   for (const auto& [name, machine] : machines_) load.used += machine.used;
@@ -702,11 +749,19 @@
   draft_limit_ = static_cast<size_t>(
       std::clamp<double>(std::floor(context_.writes.Available(now)), 0.0,
                          static_cast<double>(context_.deployment.txn_ops)));
+  std::vector<const Job*> jobs =
+      OrderJobs(context_.mirror, context_.deployment);
+  team_use_everywhere_.clear();
+  for (const auto& [id, job] : context_.mirror.open_jobs()) {
+    team_use_everywhere_[job->spec().team] +=
+        job->spec().need * static_cast<int64_t>(job->assigned);
+  }
+  Preempt(jobs);
   if (draft_limit_ > 0) {
     DraftEnds(draft);
     DraftFinishedJobs(draft);
     DraftLoad(draft);
-    DraftStarts(draft);
+    DraftStarts(draft, jobs);
     DraftCleanUp(draft);
     DraftGiveBack(draft);
   }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -100,7 +100,10 @@
   Draft::ChunkChange* Touch(Draft& draft, const Job& job, uint32_t chunk);
   void DraftEnds(Draft& draft);
   void DraftFinishedJobs(Draft& draft);
-  void DraftStarts(Draft& draft);
+  void DraftStarts(Draft& draft, const std::vector<const Job*>& jobs);
+  void Preempt(const std::vector<const Job*>& jobs);
+  Resources TeamUseEverywhere(const std::string& team) const;
+  bool LeavesReserved(const JobSpec& spec) const;
   void DraftCleanUp(Draft& draft);
   void DraftGiveBack(Draft& draft);
   // Whether this part may start waiting tasks of the chunk.
@@ -131,6 +134,9 @@
   std::map<std::string, Machine> machines_;
   std::map<std::string, Resources> team_use_;  // by what this part holds
   std::map<std::string, Resources> team_planned_;
+  std::map<std::string, Resources> team_use_everywhere_;
+  // Room that waiting jobs ask for, by team and priority.
+  std::map<std::pair<std::string, Priority>, Resources> reserved_;
   std::map<std::string, JobHealth> job_health_;
   std::map<std::string, SteadyTime> waiting_since_;  // by job
   std::map<std::string, SteadyTime> allotment_unused_since_;
--- /dev/null
+++ b/src/core/preemption.cc
@@ -0,0 +1,88 @@
+#include "core/preemption.h"
+
+#include <algorithm>
+#include <map>
+
+namespace pitchfall {
+namespace {
+
+Resources LimitOf(const Team& team) {
+  auto or_endless = [](int64_t limit) {
+    return limit > 0 ? limit : INT64_MAX / 4;
+  };
+  return {or_endless(team.cpus_limit), or_endless(team.gpus_limit),
+          INT64_MAX / 4};
+}
+
+struct Candidate {
+  const Job* job = nullptr;
+  Assignment assignment;
+};
+
+// The least important and last in order come first.
+std::vector<Candidate> Candidates(const std::vector<const Job*>& jobs,
+                                  const std::string& team) {
+  std::vector<Candidate> candidates;
+  for (auto it = jobs.rbegin(); it != jobs.rend(); ++it) {
+    const Job* job = *it;
+    if (job->spec().team != team || job->spec().checkpoint.count() == 0) {
+      continue;
+    }
+    for (auto chunk = job->chunks.rbegin(); chunk != job->chunks.rend();
+         ++chunk) {
+      const auto& assigned = chunk->second.record.assigned;
+      for (auto a = assigned.rbegin(); a != assigned.rend(); ++a) {
+        candidates.push_back({job, *a});
+      }
+    }
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return a.job->spec().priority < b.job->spec().priority;
+                   });
+  return candidates;
+}
+
+void ChooseInTeam(const std::string& team, const Resources& limit,
+                  Resources used, const std::vector<const Job*>& jobs,
+                  std::set<Victim>& victims) {
+  std::vector<Candidate> candidates = Candidates(jobs, team);
+  size_t next = 0;
+  for (const Job* job : jobs) {
+    const JobSpec& spec = job->spec();
+    if (spec.team != team) continue;
+    for (int64_t left = job->waiting(); left > 0; --left) {
+      while (!(used + spec.need).FitsIn(limit) && next < candidates.size() &&
+             candidates[next].job->spec().priority < spec.priority) {
+        const Candidate& chosen = candidates[next++];
+        used -= chosen.job->spec().need;
+        victims.insert({chosen.job->spec().id, chosen.assignment.task,
+                        chosen.assignment.attempt});
+      }
+      if (!(used + spec.need).FitsIn(limit)) break;
+      used += spec.need;
+    }
+  }
+}
+
+}  // namespace
+
+std::set<Victim> ChooseVictims(const Mirror& mirror,
+                               const Deployment& deployment,
+                               const std::vector<const Job*>& jobs_in_order) {
+  std::map<std::string, Resources> used;
+  for (const auto& [id, job] : mirror.open_jobs()) {
+    used[job->spec().team] +=
+        job->spec().need * static_cast<int64_t>(job->assigned);
+  }
+  std::set<Victim> victims;
+  for (const auto& [name, use] : used) {
+    auto team = deployment.teams.find(name);
+    if (team == deployment.teams.end()) continue;
+    if (team->second.cpus_limit == 0 && team->second.gpus_limit == 0) continue;
+    ChooseInTeam(name, LimitOf(team->second), use, jobs_in_order, victims);
+  }
+  return victims;
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/preemption.h
@@ -0,0 +1,36 @@
+// Which running tasks should make room for more important work of their team.
+#ifndef PITCHFALL_CORE_PREEMPTION_H_
+#define PITCHFALL_CORE_PREEMPTION_H_
+
+#include <compare>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/jobs.h"
+#include "core/mirror.h"
+#include "core/settings.h"
+
+namespace pitchfall {
+
+struct Victim {
+  std::string job;
+  uint32_t task = 0;
+  uint32_t attempt = 0;
+  auto operator<=>(const Victim&) const = default;
+};
+
+// Where a team's limit keeps its more important jobs waiting, tasks of its less
+// important ones that can save their progress, as many as are needed. The
+// choice follows from the mirror alone: owners of different parts, who each
+// stop their own, arrive at the same one.
+//
+// Tasks that cannot save are left to finish: stopping them would throw away
+// more than the wait costs.
+std::set<Victim> ChooseVictims(const Mirror& mirror,
+                               const Deployment& deployment,
+                               const std::vector<const Job*>& jobs_in_order);
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_PREEMPTION_H_
--- a/src/core/sizing/forecast.cc
+++ b/src/core/sizing/forecast.cc
@@ -73,7 +73,7 @@
   std::vector<double> values(steps, series.back());
   ArimaFit fit = FitArima(series);
   if (!fit.usable) return values;
-  const double ceiling = 2 * *std::max_element(series.begin(), series.end());
+  const double ceiling = 1.25 * *std::max_element(series.begin(), series.end());
   size_t n = series.size();
   double value = series[n - 1];
   double d1 = series[n - 1] - series[n - 2];
--- a/src/core/sizing/forecast.h
+++ b/src/core/sizing/forecast.h
@@ -20,7 +20,7 @@
 };
 
 // Observations that a fit needs at least.
-inline constexpr size_t kLeastObservations = 10;
+inline constexpr size_t kLeastObservations = 16;
 
 // Fits by two regressions (a long autoregression for the errors, then lags and
 // errors together). Not usable if the series is short, constant, or the result
