--- a/src/core/budget.h
+++ b/src/core/budget.h
@@ -32,6 +32,7 @@
   bool Take(SteadyTime now, double count, double reserve = 0) {
     if (Available(now) < count + reserve) return false;
     tokens_ -= count;
+    taken_ += count;
     return true;
   }
 
@@ -42,11 +43,14 @@
   }
 
   double rate() const { return rate_; }
+  // All that has ever been taken.
+  double taken() const { return taken_; }
 
  private:
   double rate_;
   double burst_;
   double tokens_;
+  double taken_ = 0;
   SteadyTime last_{};
 };
 
--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -10,6 +10,8 @@
 
 constexpr Duration kHelloGap = Millis(500);
 constexpr Duration kPeerFresh = Millis(2500);
+// Of the shared rates, so that bursts that meet seldom go over.
+constexpr double kUsable = 0.95;
 
 }  // namespace
 
@@ -70,17 +72,26 @@
   }
 }
 
-// The platform's limits hold for all controllers together. Owners of parts need
-// the most writes, the leader most of the calls to the cloud.
+// The platform's limits hold for all controllers together. Each takes what the
+// others have lately left, and no less than an even share of most of it; an
+// owner of many parts needs more than one of none.
 void Controller::ShareBudgets() {
   double nodes =
       std::max<double>(1, static_cast<double>(mirror_.nodes().size()));
-  double parts = static_cast<double>(context_.parts);
-  double share = 0.4 / nodes + 0.6 * static_cast<double>(parts_.size()) / parts;
-  writes_.SetRate(deployment_.state_writes * share,
-                  std::max(1.0, deployment_.state_writes * share));
-  requests_.SetRate(deployment_.state_rps / nodes,
-                    deployment_.state_rps / nodes);
+  double requests = 0;
+  double writes = 0;
+  for (const auto& [label, peer] : peers_) {
+    bool known = out_.now().steady - peer.heard < kPeerFresh;
+    requests += known ? peer.hello.requests : deployment_.state_rps / nodes;
+    writes += known ? peer.hello.writes : deployment_.state_writes / nodes;
+  }
+  auto share = [&](double total, double others) {
+    return std::max(kUsable * total - others, 0.8 * total / nodes);
+  };
+  double write_rate = share(deployment_.state_writes, writes);
+  writes_.SetRate(write_rate, std::max(1.0, 0.7 * write_rate));
+  double request_rate = share(deployment_.state_rps, requests);
+  requests_.SetRate(request_rate, std::max(1.0, 0.7 * request_rate));
   double cloud = deployment_.cloud_rps * (fleet_ ? 0.6 : 0.4 / nodes);
   cloud_.SetRate(cloud, std::max(1.0, cloud));
 }
@@ -152,6 +163,8 @@
 void Controller::ExchangeHellos() {
   SteadyTime now = out_.now().steady;
   if (now < next_hello_) return;
+  double passed = std::max(0.1, ToSeconds(now - last_hello_));
+  last_hello_ = now;
   next_hello_ = now + kHelloGap;
   PeerHello hello;
   hello.label = deployment_.label;
@@ -159,6 +172,14 @@
   hello.sent = out_.now().wall;
   hello.state_age =
       follower_.loaded() ? follower_.Age() : Duration(Millis(3600 * 1000));
+  // Smoothed over about two seconds.
+  auto follow = [passed](double& rate, double& before, double taken) {
+    rate += (std::max(0.0, taken - before) / passed - rate) * 0.25;
+    before = taken;
+    return rate;
+  };
+  hello.requests = follow(request_use_, requests_taken_, requests_.taken());
+  hello.writes = follow(write_use_, writes_taken_, writes_.taken());
   hello.strays.assign(context_.parts, 0);
   Duration recent = 3 * deployment_.report;
   std::erase_if(strays_, [&](const auto& entry) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -79,6 +79,11 @@
   };
   std::map<std::string, Stray> strays_;
   SteadyTime next_hello_{};
+  SteadyTime last_hello_{};
+  double request_use_ = 0;
+  double requests_taken_ = 0;
+  double write_use_ = 0;
+  double writes_taken_ = 0;
   SteadyTime started_{};
 };
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -187,6 +187,9 @@
   // mine).
   std::vector<uint32_t> strays;
   std::vector<int64_t> free_cpus;
+  // What this controller has lately used of the shared rates, a second.
+  double requests = 0;
+  double writes = 0;
 };
 
 // ---- Commands ----
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -12,4 +12,6 @@
   stateAgeMicros @3 :Int64;
   strays @4 :List(UInt32);
   freeCpus @5 :List(Int64);
+  requests @6 :Float64;
+  writes @7 :Float64;
 }
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -32,6 +32,8 @@
   for (unsigned i = 0; i < strays.size(); ++i) strays.set(i, hello.strays[i]);
   auto free = root.initFreeCpus(static_cast<unsigned>(hello.free_cpus.size()));
   for (unsigned i = 0; i < free.size(); ++i) free.set(i, hello.free_cpus[i]);
+  root.setRequests(hello.requests);
+  root.setWrites(hello.writes);
   auto bytes = capnp::messageToFlatArray(builder).asBytes();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
@@ -57,6 +59,9 @@
     hello.state_age = Duration(root.getStateAgeMicros());
     for (uint32_t strays : root.getStrays()) hello.strays.push_back(strays);
     for (int64_t free : root.getFreeCpus()) hello.free_cpus.push_back(free);
+    hello.requests = root.getRequests();
+    hello.writes = root.getWrites();
+    if (!(hello.requests >= 0) || !(hello.writes >= 0)) return std::nullopt;
     return hello;
   } catch (const kj::Exception&) {
     return std::nullopt;
