--- a/src/core/sizing/target.cc
+++ b/src/core/sizing/target.cc
@@ -49,8 +49,8 @@
   double target = in.room + std::sqrt(std::max(0.0, room / in.rent));
   // d(U) = bound at U = (bound - b) / (a + bound - b).
   double spare = in.delay_bound - in.curve.base;
-  double utilisation =
-      spare <= 0 ? 0.5 : std::max(0.5, spare / (in.curve.slope + spare));
+  double utilisation = std::max(
+      in.least_utilisation, spare <= 0 ? 0 : spare / (in.curve.slope + spare));
   target = std::min(target, in.room / utilisation);
   // Whole machines, but not one more for a rounding error.
   return static_cast<int>(std::ceil(target - 1e-9));
--- a/src/core/sizing/target.h
+++ b/src/core/sizing/target.h
@@ -32,6 +32,9 @@
   double delay_price = 0;   // p
   double rent = 1;          // c * E
   double delay_bound = 10;  // seconds
+  // The cap never asks for more than w over this: delays that have other causes
+  // than load make the fitted utilisation meaningless.
+  double least_utilisation = 0.8;
   DelayCurve curve;
 };
 
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -34,7 +34,8 @@
   for (unsigned i = 0; i < free.size(); ++i) free.set(i, hello.free_cpus[i]);
   root.setRequests(hello.requests);
   root.setWrites(hello.writes);
-  auto bytes = capnp::messageToFlatArray(builder).asBytes();
+  auto words = capnp::messageToFlatArray(builder);  // owns the bytes
+  auto bytes = words.asBytes();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
--- /dev/null
+++ b/tests/codec_test.cc
@@ -0,0 +1,328 @@
+// The decoders on good, bad and random input, and records there and back.
+#include "wire/codec.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <random>
+#include <string>
+
+#include "wire/pack.h"
+#include "wire/peer.h"
+#include "wire/records.h"
+
+namespace pitchfall::wire {
+namespace {
+
+// A valid submission with one field replaced or left out.
+std::string Submission(const std::string& field = "",
+                       const std::function<void(Packer&)>& value = {}) {
+  Packer out;
+  out.Map(field.empty() || value ? 14 : 13);
+  auto put = [&](const char* key, auto v) {
+    if (field == key) {
+      if (value) value(out.Key(key));
+    } else {
+      out.Pair(key, v);
+    }
+  };
+  put("uid", "run-000412");
+  put("lane", "train");
+  put("crew", "vision");
+  put("shape", "sweep");
+  put("urgency", "high");
+  put("legs", 16);
+  put("vcpus", 2.7);
+  put("accelerators", 0);
+  put("mem_gb", 5.8);
+  put("kit", "img-07");
+  put("pull_gb", 6.2);
+  put("expected_s", 240.0);
+  put("waypoint_s", 30.0);
+  put("stow_s", 4.0);
+  return out.Take();
+}
+
+TEST(Submission, GoodOneIsUnderstood) {
+  auto spec = DecodeSubmission(Submission()).value;
+  ASSERT_TRUE(spec);
+  EXPECT_EQ(spec->id, "run-000412");
+  EXPECT_EQ(spec->tasks, 16u);
+  EXPECT_EQ(spec->need.cpus, 2700000);
+  EXPECT_EQ(spec->need.memory, 5800000);
+  EXPECT_EQ(spec->priority, Priority::kHigh);
+  EXPECT_FALSE(spec->types);
+  EXPECT_FALSE(spec->deadline);
+  EXPECT_EQ(spec->checkpoint, Seconds(30));
+}
+
+TEST(Submission, EachFieldIsChecked) {
+  using Value = std::function<void(Packer&)>;
+  Value text = [](Packer& p) { p.Value("x"); };
+  Value negative = [](Packer& p) { p.Value(-1); };
+  Value nan = [](Packer& p) { p.Value(std::nan("")); };
+  Value endless = [](Packer& p) {
+    p.Value(std::numeric_limits<double>::infinity());
+  };
+  Value huge = [](Packer& p) { p.Value(1e300); };
+  Value zero = [](Packer& p) { p.Value(0); };
+  Value many = [](Packer& p) { p.Value(100001); };
+  Value number = [](Packer& p) { p.Value(7); };
+  Value decimal = [](Packer& p) { p.Value(16.5); };
+  const std::pair<const char*, Value> kBad[] = {{"uid", text},
+                                                {"uid", number},
+                                                {"uid", {}},
+                                                {"lane", {}},
+                                                {"lane", number},
+                                                {"crew", {}},
+                                                {"shape", text},
+                                                {"urgency", text},
+                                                {"legs", zero},
+                                                {"legs", many},
+                                                {"legs", negative},
+                                                {"legs", decimal},
+                                                {"vcpus", negative},
+                                                {"vcpus", nan},
+                                                {"vcpus", endless},
+                                                {"vcpus", huge},
+                                                {"vcpus", text},
+                                                {"mem_gb", negative},
+                                                {"mem_gb", {}},
+                                                {"accelerators", nan},
+                                                {"kit", number},
+                                                {"pull_gb", negative},
+                                                {"expected_s", {}},
+                                                {"expected_s", nan},
+                                                {"waypoint_s", negative},
+                                                {"stow_s", text}};
+  for (const auto& [field, value] : kBad) {
+    auto decoded = DecodeSubmission(Submission(field, value));
+    EXPECT_FALSE(decoded.value) << field;
+    EXPECT_NE(decoded.error.find(field), std::string::npos) << decoded.error;
+  }
+}
+
+TEST(Submission, NullEqualsAbsentAndUnknownIsIgnored) {
+  Packer extra;
+  std::string body = Submission();
+  body[0] = static_cast<char>(0x80 | 15);  // one more pair
+  extra.Raw(body).Key("rigs").Null();
+  EXPECT_TRUE(DecodeSubmission(extra.Take()).value);
+  Packer unknown;
+  unknown.Raw(body).Key("colour").List(1).Value("red");
+  EXPECT_TRUE(DecodeSubmission(unknown.Take()).value);
+}
+
+TEST(Submission, NoMapOrGarbage) {
+  EXPECT_FALSE(DecodeSubmission("").value);
+  EXPECT_FALSE(DecodeSubmission("\x93\x01\x02\x03").value);
+  EXPECT_FALSE(DecodeSubmission("{\"uid\":1}").value);
+  EXPECT_FALSE(DecodeSubmission(Submission() + "x").value);
+}
+
+// Headers that promise more than the body holds must not be believed.
+TEST(Submission, HugeCountsAndDeepNestingAreRefused) {
+  EXPECT_FALSE(DecodeSubmission(std::string("\xdf\xff\xff\xff\xff", 5)).value);
+  EXPECT_FALSE(DecodeSubmission(std::string("\xdd\xff\xff\xff\xff", 5)).value);
+  EXPECT_FALSE(DecodeSubmission(std::string(60000, '\x91')).value);
+  EXPECT_FALSE(DecodeSubmission(std::string(60000, '\x81')).value);
+}
+
+TEST(JobIds, HaveOneForm) {
+  EXPECT_TRUE(ValidJobId("run-000412"));
+  EXPECT_TRUE(ValidJobId("run-12345678"));
+  for (const char* id : {"", "run-", "run-00x", "job-000412", "run-0004/2",
+                         "RUN-000412", "run-000000000000000000000000"}) {
+    EXPECT_FALSE(ValidJobId(id)) << id;
+  }
+}
+
+TEST(Report, IsUnderstood) {
+  Packer out;
+  out.Map(9).Pair("tine", "m-000231").Pair("addr", "10.1.0.232:9000");
+  out.Pair("rig", "g8").Pair("yard", "a").Pair("loaners", true);
+  out.Pair("shift", 1).Pair("tally", 88).Pair("baton", 41);
+  out.Key("legs").List(2);
+  out.Map(3).Pair("leg", "run-000412/3").Pair("try", 2);
+  out.Pair("status", "running");
+  out.Map(4).Pair("leg", "run-000398/0").Pair("try", 1);
+  out.Pair("status", "exited").Pair("cause", "done");
+  auto report = DecodeReport(out.Take()).value;
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->token, 41u);
+  ASSERT_EQ(report->tasks.size(), 2u);
+  EXPECT_EQ(report->tasks[0].job, "run-000412");
+  EXPECT_EQ(report->tasks[0].task, 3u);
+  EXPECT_EQ(report->tasks[1].cause, ExitCause::kDone);
+}
+
+// ---- Records ----
+
+std::string Packed(const Record& record) {
+  Packer out;
+  PackRecord(out, record);
+  return out.Take();
+}
+
+std::optional<Record> Unpacked(const std::string& key,
+                               const std::string& body) {
+  Message message(body, 10000, 12);
+  return ReadRecord(key, message.root());
+}
+
+TEST(Records, ChunksComeBackAsTheyWere) {
+  std::mt19937 random(5);
+  for (int round = 0; round < 200; ++round) {
+    ChunkRecord chunk;
+    chunk.part = random() % 4;
+    chunk.next_attempt = 1 + random() % 9;
+    for (uint32_t task = 0; task < 128; ++task) {
+      if (random() % 3 == 0) AddTask(chunk.done, task);
+      if (random() % 3 == 0) {
+        chunk.assigned.push_back({task, static_cast<uint32_t>(random() % 3),
+                                  "m-" + std::to_string(random() % 5), "a"});
+      }
+    }
+    auto back = Unpacked("pf/runs/run-1/0", Packed(chunk));
+    ASSERT_TRUE(back);
+    auto& read = std::get<ChunkRecord>(*back);
+    auto order = [](const Assignment& a, const Assignment& b) {
+      return a.task < b.task;
+    };
+    std::sort(read.assigned.begin(), read.assigned.end(), order);
+    EXPECT_EQ(read.part, chunk.part);
+    EXPECT_EQ(read.next_attempt, chunk.next_attempt);
+    EXPECT_EQ(read.done, chunk.done);
+    EXPECT_EQ(read.assigned, chunk.assigned);
+  }
+}
+
+TEST(Records, JobsComeBackAsTheyWere) {
+  JobRecord job;
+  job.spec = *DecodeSubmission(Submission()).value;
+  job.spec.types = std::vector<std::string>{"g8", "g9"};
+  job.spec.deadline = Seconds(12.5);
+  job.submitted = WallTime(Seconds(1e9));
+  job.home = 2;
+  auto back = Unpacked("pf/jobs/run-000412", Packed(job));
+  ASSERT_TRUE(back);
+  const auto& read = std::get<JobRecord>(*back);
+  EXPECT_EQ(Packed(read), Packed(job));
+  EXPECT_EQ(read.spec.types, job.spec.types);
+  EXPECT_EQ(read.spec.deadline, job.spec.deadline);
+}
+
+// The largest chunk, with each task on a machine of its own, must fit the
+// smallest value the state service takes (8 KiB in the deployments so far).
+TEST(Records, LargestChunkFitsAValue) {
+  ChunkRecord chunk;
+  for (uint32_t task = 0; task < 128; ++task) {
+    chunk.assigned.push_back({99000 + task, 1000000 + task,
+                              "m-1234" + std::to_string(100 + task),
+                              "a-rather-long-zone"});
+  }
+  // In the JSON form in which sizes count: a few bytes more for each item.
+  EXPECT_LT(Packed(chunk).size() + 128 * 6, 8u * 1024);
+}
+
+// ---- Random bytes ----
+
+std::string Mutate(std::string body, std::mt19937& random) {
+  for (uint32_t n = 1 + random() % 4; n > 0 && !body.empty(); --n) {
+    size_t at = random() % body.size();
+    switch (random() % 3) {
+      case 0:
+        body[at] = static_cast<char>(random());
+        break;
+      case 1:
+        body.erase(at, 1 + random() % 4);
+        break;
+      default:
+        body.insert(at, 1, static_cast<char>(random()));
+        break;
+    }
+  }
+  return body;
+}
+
+TEST(Fuzz, NoDecoderTrustsItsInput) {
+  std::mt19937 random(20261201);
+  const std::string submission = Submission();
+  PeerHello hello;
+  hello.label = "node-0";
+  hello.life = "abc";
+  hello.strays = {1, 2, 3};
+  hello.free_cpus = {-1, 5, 6};
+  const std::string peer = EncodeHello(hello);
+  ChunkRecord chunk;
+  chunk.assigned.push_back({1, 1, "m-1", "a"});
+  AddTask(chunk.done, 3);
+  const std::string record = Packed(chunk);
+  Packer report_out;
+  report_out.Map(6).Pair("tine", "m-1").Pair("rig", "g").Pair("yard", "a");
+  report_out.Pair("shift", 1).Pair("tally", 2).Key("legs").List(1);
+  report_out.Map(3).Pair("leg", "run-1/0").Pair("try", 1);
+  report_out.Pair("status", "running");
+  const std::string report = report_out.Take();
+  int understood = 0;
+  for (int round = 0; round < 20000; ++round) {
+    auto spec = DecodeSubmission(Mutate(submission, random));
+    if (spec.value) {
+      ++understood;
+      EXPECT_TRUE(ValidJobId(spec.value->id));
+      EXPECT_GE(spec.value->tasks, 1u);
+      EXPECT_LE(spec.value->tasks, 100000u);
+      EXPECT_GT(spec.value->need.cpus, 0);
+      EXPECT_GE(spec.value->need.memory, 0);
+    } else {
+      EXPECT_FALSE(spec.error.empty());
+    }
+    DecodeReport(Mutate(report, random));
+    std::string bytes = Mutate(peer, random);
+    size_t size = HelloSize(bytes);
+    if (size != 0 && size <= bytes.size()) {
+      DecodeHello(std::string_view(bytes).substr(0, size));
+    }
+    try {
+      Unpacked("pf/runs/run-1/0", Mutate(record, random));
+    } catch (const Malformed&) {
+    }
+    DecodeState(WatchRead{}, 200, Mutate(record, random));
+    DecodeCloud(ListMachines{}, 200, Mutate(report, random));
+  }
+  EXPECT_GT(understood, 0);
+}
+
+TEST(Hello, ComesBackAsItWas) {
+  PeerHello hello;
+  hello.label = "node-1";
+  hello.life = "00ff";
+  hello.sent = WallTime(Seconds(12));
+  hello.state_age = Millis(250);
+  hello.strays = {0, 4};
+  hello.free_cpus = {-1, 16000000};
+  hello.writes = 2.5;
+  std::string bytes = EncodeHello(hello);
+  ASSERT_EQ(HelloSize(bytes), bytes.size());
+  auto back = DecodeHello(bytes);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->label, hello.label);
+  EXPECT_EQ(back->sent, hello.sent);
+  EXPECT_EQ(back->strays, hello.strays);
+  EXPECT_EQ(back->free_cpus, hello.free_cpus);
+  EXPECT_EQ(back->writes, hello.writes);
+}
+
+// A platform's answer that cannot be read is no answer: whether the request was
+// carried out is unknown.
+TEST(StateReplies, UnreadableOnesCountAsNone) {
+  EXPECT_EQ(DecodeState(Transaction{}, 200, "").status, 0);
+  EXPECT_EQ(DecodeState(WatchRead{}, 200, "\xc1").status, 0);
+  EXPECT_EQ(DecodeState(Renew{}, 200, "").status, 200);
+  EXPECT_EQ(DecodeState(Transaction{}, 503, "").status, 503);
+}
+
+}  // namespace
+}  // namespace pitchfall::wire
--- /dev/null
+++ b/tests/playground/platform.h
@@ -0,0 +1,82 @@
+// The stand-ins behind real sockets on loopback: a platform for trying
+// pitchfall out by hand and for the test of the real program.
+#ifndef PITCHFALL_TESTS_PLAYGROUND_PLATFORM_H_
+#define PITCHFALL_TESTS_PLAYGROUND_PLATFORM_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "io/event.h"
+#include "io/http_client.h"
+#include "standins/cloud.h"
+#include "standins/state_service.h"
+#include "standins/worker.h"
+
+namespace pitchfall::playground {
+
+struct Controller {
+  std::string label;
+  std::string front;
+  std::string peer;
+};
+
+class Platform {
+ public:
+  Platform(event_base* base, std::vector<Controller> controllers,
+           Duration task_run);
+  ~Platform();
+  Platform(const Platform&) = delete;
+  Platform& operator=(const Platform&) = delete;
+
+  // The settings file for one of the controllers.
+  std::string SettingsFor(size_t index) const;
+  size_t machines() const { return machines_.size(); }
+
+ private:
+  struct Box;
+  using Handler = standins::HttpReply (Platform::*)(std::string_view,
+                                                    const std::string&,
+                                                    const std::string&);
+
+  uint16_t Serve(io::HttpServer& server, Handler handler);
+  static void OnRequest(evhttp_request* request, void* arg);
+  static void OnStep(evutil_socket_t, short, void* arg);
+  standins::HttpReply State(std::string_view method, const std::string& target,
+                            const std::string& body);
+  standins::HttpReply Cloud(std::string_view method, const std::string& target,
+                            const std::string& body);
+  void Boot(const standins::Cloud::Machine& machine);
+  void Step();
+  void Report(Box& box);
+  SteadyTime Now() const;
+
+  struct Route {
+    Platform* platform;
+    Handler handler;
+  };
+
+  event_base* base_;
+  std::vector<Controller> controllers_;
+  Duration task_run_;
+  standins::StateService state_;
+  standins::Cloud cloud_;
+  std::vector<std::unique_ptr<Route>> routes_;
+  io::HttpServer state_server_;
+  io::HttpServer cloud_server_;
+  uint16_t state_port_ = 0;
+  uint16_t cloud_port_ = 0;
+  std::vector<std::pair<SteadyTime, standins::Cloud::Machine>> booting_;
+  std::map<std::string, std::unique_ptr<Box>> machines_;
+  std::vector<std::unique_ptr<Box>> gone_;
+  io::Event step_;
+};
+
+// A port on loopback that nobody listens on at the moment.
+uint16_t FreePort();
+
+}  // namespace pitchfall::playground
+
+#endif  // PITCHFALL_TESTS_PLAYGROUND_PLATFORM_H_
--- /dev/null
+++ b/tests/settings_test.cc
@@ -0,0 +1,129 @@
+// Both settings files: what is accepted, and what is said about the rest.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "cli/deployment_file.h"
+#include "cli/tuning_file.h"
+
+namespace pitchfall::cli {
+namespace {
+
+const char kGood[] = R"(
+label = "node-0"
+site = "a"
+front = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+unknown = 7
+[[known]]
+label = "node-1"
+address = "127.0.0.2:8081"
+[services]
+cloud = "127.0.0.9:1"
+state = "127.0.0.9:2"
+[[cluster.teams]]
+name = "red"
+cpus = 0.1
+cpus_max = 0.3
+[[cluster.objectives]]
+kind = "finished"
+class = "x"
+within_s = 70.0
+share = 0.8
+[cluster.workers]
+report_s = 1.5
+lease_s = 10.0
+cancel_s = 30.0
+[cluster.state]
+rps = 100.0
+write_rps = 15
+value_kb = 8.0
+txn_ops = 8
+[cluster.cloud]
+rps = 8.0
+)";
+
+std::string Why(const std::string& text) {
+  try {
+    ParseDeployment(text, "node.toml");
+  } catch (const SettingsError& problem) {
+    return problem.what();
+  }
+  return "";
+}
+
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST(DeploymentFile, GoodOneIsRead) {
+  Deployment d = ParseDeployment(kGood, "node.toml");
+  EXPECT_EQ(d.label, "node-0");
+  ASSERT_EQ(d.peers.size(), 1u);
+  EXPECT_EQ(d.peers[0].address, "127.0.0.2:8081");
+  EXPECT_EQ(d.teams.at("red").cpus_limit, 300000);
+  EXPECT_EQ(d.report, Millis(1500));
+  EXPECT_EQ(d.txn_ops, 8u);
+  ASSERT_EQ(d.objectives.size(), 1u);
+  EXPECT_EQ(d.objectives[0].within, Seconds(70));
+}
+
+TEST(DeploymentFile, SaysFileKeyAndReason) {
+  EXPECT_EQ(Why(Replaced("label = \"node-0\"", "")),
+            "node.toml: label is missing");
+  EXPECT_EQ(Why(Replaced("report_s = 1.5", "report_s = \"soon\"")),
+            "node.toml: cluster.workers.report_s must be a number");
+  EXPECT_EQ(Why(Replaced("cancel_s = 30.0", "cancel_s = 5.0")),
+            "node.toml: cluster.workers.cancel_s must be more than lease_s");
+  EXPECT_EQ(Why(Replaced("cpus = 0.1", "cpus = -4")),
+            "node.toml: cluster.teams[0].cpus must be from 0 to 1000000000");
+  EXPECT_NE(Why(Replaced("127.0.0.1:8080", "nowhere")).find("front"),
+            std::string::npos);
+  EXPECT_NE(Why(Replaced("[services]", "[services")).find("node.toml:10"),
+            std::string::npos);
+}
+
+std::string WhyTuning(const std::string& text) {
+  try {
+    ParseTuning(text, "ops.sexp");
+  } catch (const SettingsError& problem) {
+    return problem.what();
+  }
+  return "";
+}
+
+TEST(TuningFile, EverythingIsOptional) {
+  EXPECT_EQ(ParseTuning("", "ops.sexp").node_lease, Tuning().node_lease);
+  Tuning tuning = ParseTuning(
+      "; a comment with (parentheses\n(node-lease 2.5)\n(parts 1) (horizon 4)",
+      "ops.sexp");
+  EXPECT_EQ(tuning.node_lease, Millis(2500));
+  EXPECT_EQ(tuning.parts, 1u);
+  EXPECT_EQ(tuning.horizon, 4u);
+}
+
+TEST(TuningFile, SaysFileLineAndReason) {
+  EXPECT_EQ(WhyTuning("(parts 1)\n(colour 3)"),
+            "ops.sexp:2: unknown setting 'colour'");
+  EXPECT_EQ(WhyTuning("\n(parts 65)"),
+            "ops.sexp:2: parts must be from 0 to 64");
+  EXPECT_EQ(WhyTuning("(parts many)"),
+            "ops.sexp:1: parts: 'many' is not a number");
+  EXPECT_EQ(WhyTuning("(parts nan)"),
+            "ops.sexp:1: parts: 'nan' is not a number");
+  EXPECT_EQ(WhyTuning("(parts)"), "ops.sexp:1: parts takes one number");
+  EXPECT_EQ(WhyTuning("(parts 1 2)"), "ops.sexp:1: parts takes one number");
+  EXPECT_EQ(WhyTuning("(parts (1))"), "ops.sexp:1: parts takes one number");
+  EXPECT_EQ(WhyTuning("\n\n(parts 1"),
+            "ops.sexp:3: the parenthesis opened here is not closed");
+  EXPECT_NE(WhyTuning("parts 1").find("ops.sexp:1: expected a setting"),
+            std::string::npos);
+  EXPECT_NE(WhyTuning("()").find("ops.sexp:1: not a setting"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace pitchfall::cli
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -93,9 +93,7 @@
       if (cloud_.machines().contains(machine.name)) AddMachine(machine);
     });
   };
-  cloud_.on_delete = [this](const std::string& name) {
-    machines_.erase(name);
-  };
+  cloud_.on_delete = [this](const std::string& name) { machines_.erase(name); };
   for (size_t i = 0; i < kNodes; ++i) {
     nodes_.push_back(std::make_unique<Node>());
     nodes_[i]->index = i;
@@ -583,10 +581,12 @@
   const std::string& id = job.spec.id;
   if (!job.submitted) Violation("invented", id);
   using Status = JobAnswer::Status;
-  if (job.told_done && asked >= *job.told_done && answer.status != Status::kDone) {
+  if (job.told_done && asked >= *job.told_done &&
+      answer.status != Status::kDone) {
     Violation("went_back", id + " was done");
   }
-  if (job.cancelled && asked >= *job.cancelled && answer.status != Status::kCancelled) {
+  if (job.cancelled && asked >= *job.cancelled &&
+      answer.status != Status::kCancelled) {
     Violation("went_back", id + " was cancelled");
   }
   if (answer.status == Status::kCancelled) {
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -37,7 +37,7 @@
     double cpus = 8;
     double memory_gb = 32;
     Duration lease{Millis(6000)};
-    bool sick = false;  // fails every task
+    bool sick = false;           // fails every task
     bool ignores_stops = false;  // a fault for tests of the tests
   };
   using Lookup = std::function<std::optional<TaskInfo>(const std::string&)>;
