--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -10,11 +10,12 @@
 namespace pitchfall {
 namespace {
 
-constexpr Duration kPlanGap = Millis(30);
+constexpr Duration kPlanGap = Millis(80);
 constexpr Duration kIdlePlanGap = Millis(250);
 constexpr Duration kLeaseMargin = Millis(500);
 constexpr Duration kCancelMargin = Millis(2000);
-constexpr Duration kAllotmentRest = Millis(1500);
+constexpr Duration kAllotmentRest = Millis(5000);
+constexpr Duration kAllotmentShortRest = Millis(250);
 
 Duration WithDrift(Duration d) { return d + d / 1000; }
 
@@ -485,9 +486,10 @@
       continue;
     }
     SteadyTime since = allotment_unused_since_.emplace(name, now).first->second;
+    // At once only if another part may be waiting for it.
     auto wanted = reserved_.lower_bound({name, Priority::kLow});
     bool needed = wanted != reserved_.end() && wanted->first.first == name;
-    if (!needed && now - since < kAllotmentRest) continue;
+    if (now - since < (needed ? kAllotmentShortRest : kAllotmentRest)) continue;
     if (!draft.teams.contains(name) && draft.size() >= draft_limit_) return;
     mine.cpus = std::min(mine.cpus, use.cpus);
     mine.gpus = std::min(mine.gpus, use.gpus);
@@ -746,9 +748,9 @@
   for (auto& [name, machine] : machines_) machine.planned = {};
   team_planned_.clear();
   Draft draft;
-  draft_limit_ = static_cast<size_t>(
-      std::clamp<double>(std::floor(context_.writes.Available(now)), 0.0,
-                         static_cast<double>(context_.deployment.txn_ops)));
+  draft_limit_ = static_cast<size_t>(std::clamp<double>(
+      std::floor(context_.writes.Available(now) - context_.writes_kept), 0.0,
+      static_cast<double>(context_.deployment.txn_ops)));
   std::vector<const Job*> jobs =
       OrderJobs(context_.mirror, context_.deployment);
   team_use_everywhere_.clear();
@@ -773,6 +775,12 @@
   context_.requests.Take(now, 1, -1e9);
   Transaction txn = MakeTransaction(draft);
   storing_ = true;
+  context_.out.Log(LogLevel::kDebug,
+                   "event=store part={} chunks={} starts={} teams={} done={} "
+                   "tokens={:.1f}",
+                   number_, draft.chunks.size(), draft.starts,
+                   draft.teams.size(), draft.done_jobs.size(),
+                   context_.writes.Available(now));
   context_.out.CallState(
       txn, context_.tuning.state_timeout,
       [this, draft = std::move(draft), txn, now,
--- a/src/core/users.cc
+++ b/src/core/users.cc
@@ -16,6 +16,7 @@
 // Polls wait two seconds for their answer.
 constexpr Duration kMaxPollWait = Millis(1500);
 constexpr size_t kMaxWaitingPolls = 2000;
+constexpr Duration kPatience = Millis(150);
 constexpr Duration kStoreGap = Millis(15);
 
 }  // namespace
@@ -205,14 +206,18 @@
     return true;
   });
   Flush();
+  bool waiting =
+      !queue_.empty() && context_.now() - queue_.back().since >= kPatience;
+  context_.writes_kept = waiting ? 1 : 0;
 }
 
 void Users::Flush() {
   SteadyTime now = context_.now();
   if (storing_ || queue_.empty() || now < next_store_) return;
   // Starts and results come before submissions, cancellations before both: the
-  // last tokens are left to them.
-  double spare = std::min(2.0, context_.writes.rate() / 4);
+  // last tokens are left to them, until a submission has waited for a while.
+  bool patient = now - queue_.back().since < kPatience;
+  double spare = patient ? std::min(2.0, context_.writes.rate() / 4) : 0;
   Transaction txn;
   std::vector<Change> batch;
   while (!queue_.empty() && batch.size() < context_.deployment.txn_ops) {
