--- a/src/core/demand.cc
+++ b/src/core/demand.cc
@@ -82,7 +82,7 @@
     demand.requested += room;
     if (!spec.spot) demand.ordinary_only += room;
   };
-  for (const Job* job : OrderJobs(mirror, deployment)) {
+  for (const Job* job : OrderJobs(mirror, now, deployment)) {
     const JobSpec& spec = job->spec();
     JobShare share = ShareOf(*job, parts, part);
     add(spec, share.running, 1);
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -752,7 +752,7 @@
       std::floor(context_.writes.Available(now) - context_.writes_kept), 0.0,
       static_cast<double>(context_.deployment.txn_ops)));
   std::vector<const Job*> jobs =
-      OrderJobs(context_.mirror, context_.deployment);
+      OrderJobs(context_.mirror, context_.out.now().wall, context_.deployment);
   team_use_everywhere_.clear();
   for (const auto& [id, job] : context_.mirror.open_jobs()) {
     team_use_everywhere_[job->spec().team] +=
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -6,7 +6,36 @@
 
 namespace pitchfall {
 
-std::vector<const Job*> OrderJobs(const Mirror& mirror,
+int64_t DueOf(const Job& job, WallTime now, const Deployment& deployment) {
+  constexpr int64_t kNever = std::numeric_limits<int64_t>::max() / 2;
+  const JobSpec& spec = job.spec();
+  // The rest runs in as many rounds as the limit makes necessary.
+  int64_t tasks = spec.tasks - std::min(spec.tasks, job.done);
+  int64_t rounds = 1;
+  auto team = deployment.teams.find(spec.team);
+  if (team != deployment.teams.end() && team->second.cpus_limit > 0) {
+    int64_t at_once =
+        std::max<int64_t>(1, team->second.cpus_limit / spec.need.cpus);
+    rounds = std::max<int64_t>(1, (tasks + at_once - 1) / at_once);
+  }
+  int64_t earliest_end =
+      (now.time_since_epoch() + spec.estimate * rounds).count();
+  int64_t submitted = job.record.submitted.time_since_epoch().count();
+  int64_t due = kNever;
+  auto consider = [&](Duration within) {
+    int64_t end = submitted + within.count();
+    if (end >= earliest_end) due = std::min(due, end);
+  };
+  if (spec.deadline) consider(*spec.deadline);
+  for (const Objective& objective : deployment.objectives) {
+    if (objective.job_class == spec.job_class && objective.kind == "finished") {
+      consider(objective.within);
+    }
+  }
+  return due;
+}
+
+std::vector<const Job*> OrderJobs(const Mirror& mirror, WallTime now,
                                   const Deployment& deployment) {
   std::vector<const Job*> jobs;
   for (const auto& [id, job] : mirror.open_jobs()) {
@@ -14,12 +43,10 @@
   }
   // Within a team the more important jobs come first, and as long as they all
   // fit into its guarantee together they need not wait for other teams.
-  auto own = [](const Job* job) {
-    const JobSpec& spec = job->spec();
-    int64_t submitted = job->record.submitted.time_since_epoch().count();
-    int64_t due = spec.deadline ? submitted + spec.deadline->count()
-                                : std::numeric_limits<int64_t>::max();
-    return std::tuple(-static_cast<int>(spec.priority), due, submitted);
+  auto own = [&](const Job* job) {
+    return std::tuple(-static_cast<int>(job->spec().priority),
+                      DueOf(*job, now, deployment),
+                      job->record.submitted.time_since_epoch().count());
   };
   std::vector<std::pair<JobRank, const Job*>> ranked;
   ranked.reserve(jobs.size());
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -20,8 +20,14 @@
 // Smaller goes first: guarantee, priority, deadline, age.
 using JobRank = std::tuple<int, int, int64_t, int64_t>;
 
+// When the job should be complete, as micros of the time of day: the earliest
+// of its deadline and its class's objectives that can still be met, by the
+// estimate and by what the team's limit lets run at once. A job that can meet
+// none comes after all that can.
+int64_t DueOf(const Job& job, WallTime now, const Deployment& deployment);
+
 // All open jobs in the order in which they should get room.
-std::vector<const Job*> OrderJobs(const Mirror& mirror,
+std::vector<const Job*> OrderJobs(const Mirror& mirror, WallTime now,
                                   const Deployment& deployment);
 
 // Where the tasks of one job are at this moment, for jobs that must stay in one
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -263,7 +263,8 @@
   add("run-4", Priority::kNormal, 0, 4, "blue", 1);
   add("run-5", Priority::kNormal, 0, 0, "blue", 1);
   std::vector<std::string> order;
-  for (const Job* job : OrderJobs(mirror, d)) order.push_back(job->spec().id);
+  for (const Job* job : OrderJobs(mirror, WallTime(), d))
+    order.push_back(job->spec().id);
   EXPECT_EQ(order, (std::vector<std::string>{"run-3", "run-2", "run-1", "run-5",
                                              "run-4"}));
 }
@@ -285,10 +286,11 @@
       {{0, 1, "m-1", "a"}, {1, 1, "m-1", "a"}, {2, 1, "m-1", "a"}}));
   mirror.Apply(
       ChunkChange("run-2", 0, 4, {{0, 1, "m-1", "a"}, {1, 1, "m-1", "a"}}));
-  EXPECT_TRUE(ChooseVictims(mirror, d, OrderJobs(mirror, d)).empty());
+  EXPECT_TRUE(
+      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d)).empty());
   mirror.Apply(JobChange(high, 5));
   // 8 of 10 in use: one of the two high tasks fits, the other needs one stop.
-  auto victims = ChooseVictims(mirror, d, OrderJobs(mirror, d));
+  auto victims = ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d));
   ASSERT_EQ(victims.size(), 1u);
   EXPECT_EQ(victims.begin()->job, "run-1");
   EXPECT_EQ(victims.begin()->task, 2u);
@@ -303,7 +305,8 @@
   mirror.Apply(
       ChunkChange("run-1", 0, 3, {{0, 1, "m-1", "a"}, {1, 1, "m-1", "a"}}));
   mirror.Apply(JobChange(Spec("run-2", 2, 2), 4));
-  EXPECT_TRUE(ChooseVictims(mirror, d, OrderJobs(mirror, d)).empty());
+  EXPECT_TRUE(
+      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d)).empty());
 }
 
 TEST(Demand, StaysWithinATeamsLimit) {
