--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -425,7 +425,7 @@
 // get no new tasks and go when they are empty, those with the least on them.
 void Fleet::GiveBack(int surplus, int spare_ordinary, const Use& use) {
   SteadyTime now = context_.now();
-  std::vector<std::tuple<int64_t, double, std::string>> choice;
+  std::vector<std::tuple<double, double, std::string>> choice;
   for (const auto& [name, known] : machines_) {
     if (Draining(name) || known.status != MachineStatus::kRunning) continue;
     auto used = use.find(name);
@@ -436,12 +436,13 @@
                      context_.tuning.idle_before_return) {
       continue;
     }
-    choice.push_back(
-        {empty ? 0 : used->second.cpus, -Price(known.offer), name});
+    // What is lost while it empties, against the rent that is saved.
+    double load = empty ? 0 : MachinesFor(used->second);
+    choice.push_back({load / Price(known.offer), -Price(known.offer), name});
   }
   std::sort(choice.begin(), choice.end());
   std::vector<std::string> names;
-  for (const auto& [cpus, price, name] : choice) {
+  for (const auto& [cost, price, name] : choice) {
     if (static_cast<int>(names.size()) >= surplus) break;
     // Jobs that must not run on spot machines keep what they need.
     bool ordinary = !machines_[name].offer.spot;
