--- a/src/core/machines.cc
+++ b/src/core/machines.cc
@@ -16,6 +16,14 @@
   return nullptr;
 }
 
+Order StopOrder(const TaskKey& key, const HeldTask& task, bool wanted) {
+  const JobSpec& spec = task.job->spec();
+  // What nobody wants any more need not be saved.
+  bool save = wanted && spec.checkpoint.count() > 0;
+  return {Order::Op::kStop, key.first, key.second, task.attempt,
+          save ? spec.save + Millis(1000) : Duration(0)};
+}
+
 }  // namespace
 
 Verdict Judge(const Machine& machine, const TaskKey& key, const HeldTask& task,
@@ -51,6 +59,19 @@
   return wanted ? Verdict::kHeld : Verdict::kGone;
 }
 
+std::vector<Order> MakeDirectStops(Machine& machine,
+                                   const OrderPolicy& policy) {
+  std::vector<Order> stops;
+  for (auto& [key, task] : machine.held) {
+    bool wanted = policy.wanted(task);
+    if (task.stop_sent || (wanted && !task.stop())) continue;
+    if (!task.state || *task.state == TaskState::kExited) continue;
+    task.stop_sent = true;
+    stops.push_back(StopOrder(key, task, wanted));
+  }
+  return stops;
+}
+
 std::vector<Order> MakeOrders(Machine& machine, const OrderPolicy& policy) {
   std::vector<Order> stops;
   std::vector<Order> forgets;
@@ -73,10 +94,8 @@
       stops.push_back(
           {Order::Op::kStop, task.job, task.task, task.attempt, {}});
     } else if (!policy.wanted(held->second) || held->second.stop()) {
-      const JobSpec& spec = held->second.job->spec();
-      bool save = policy.wanted(held->second) && spec.checkpoint.count() > 0;
-      stops.push_back({Order::Op::kStop, task.job, task.task, task.attempt,
-                       save ? spec.save + Millis(1000) : Duration(0)});
+      stops.push_back(
+          StopOrder(held->first, held->second, policy.wanted(held->second)));
     }
   }
   if (policy.may_start) {
--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -34,6 +34,7 @@
   bool leave = false;
   bool preempted = false;
   bool stop() const { return leave || preempted; }
+  bool stop_sent = false;  // by a direct command
   std::optional<TaskState> state;
 };
 
@@ -108,6 +109,10 @@
 // The orders that answer the machine's newest report. Marks the starts as sent.
 std::vector<Order> MakeOrders(Machine& machine, const OrderPolicy& policy);
 
+// Stops that need not wait for the next report, to be sent directly. Only
+// stops: a late copy of one does nothing, as tries are never used again.
+std::vector<Order> MakeDirectStops(Machine& machine, const OrderPolicy& policy);
+
 }  // namespace pitchfall
 
 #endif  // PITCHFALL_CORE_MACHINES_H_
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "core/demand.h"
+#include "core/hash.h"
 #include "core/limits.h"
 #include "core/preemption.h"
 
@@ -12,6 +13,10 @@
 
 constexpr Duration kPlanGap = Millis(80);
 constexpr Duration kIdlePlanGap = Millis(250);
+constexpr Duration kCommandTimeout = Millis(2000);
+// Workers whose owner is gone come by themselves within a few seconds.
+constexpr Duration kReachGap = Millis(2500);
+constexpr int kMostReaches = 6;
 constexpr Duration kLeaseMargin = Millis(500);
 constexpr Duration kCancelMargin = Millis(2000);
 constexpr Duration kAllotmentRest = Millis(5000);
@@ -26,7 +31,8 @@
       number_(number),
       token_(token),
       owned_since_(context.now()),
-      last_heard_(context.now()) {
+      last_heard_(context.now()),
+      next_reach_(context.now() + kReachGap) {
   for (const auto& [id, job] : context_.mirror.open_jobs()) {
     for (const auto& [chunk, entry] : job->chunks) {
       OnChunk(*job, chunk, nullptr, &entry.record);
@@ -189,18 +195,80 @@
   return !task.job->record.final();
 }
 
+OrderPolicy Part::Policy(const Machine& machine) const {
+  OrderPolicy policy;
+  policy.token = token_;
+  policy.may_start = context_.follower.Fresh() && machine.token_seen &&
+                     machine.TakesTasks(context_.now());
+  policy.wanted = [this](const HeldTask& task) { return Wanted(task); };
+  return policy;
+}
+
+void Part::SendStops() {
+  for (auto& [name, machine] : machines_) {
+    if (!machine.token_seen || machine.waiting != 0 || machine.gone ||
+        machine.address.empty()) {
+      continue;
+    }
+    std::vector<Order> stops = MakeDirectStops(machine, Policy(machine));
+    if (stops.empty()) continue;
+    context_.out.CallWorker(
+        machine.address,
+        CommandWorker{token_, machine.report->session, std::move(stops)},
+        kCommandTimeout,
+        // The worker reports the change; answers to reports repeat the stops.
+        [](const WorkerReply&) {});
+  }
+}
+
+void Part::ReachWorkers() {
+  SteadyTime now = context_.now();
+  if (reaching_ || reaches_ >= kMostReaches || now < next_reach_) return;
+  if (!context_.follower.Fresh() || !context_.cloud.Take(now, 1)) return;
+  ++reaches_;
+  reaching_ = true;
+  context_.out.CallCloud(
+      ListMachines{}, context_.tuning.cloud_timeout,
+      [this, alive = std::weak_ptr<int>(alive_)](const CloudReply& reply) {
+        if (alive.expired()) return;
+        reaching_ = false;
+        next_reach_ = context_.now() + kReachGap;
+        for (const ListedMachine& listed : reply.listed) {
+          if (PartOf(listed.name, context_.parts) != number_) continue;
+          auto machine = machines_.find(listed.name);
+          bool reached =
+              machine != machines_.end() && machine->second.token_seen;
+          if (!reached && !listed.address.empty() &&
+              listed.status != MachineStatus::kFailed) {
+            ShowToken(listed);
+          }
+        }
+      });
+}
+
+void Part::ShowToken(const ListedMachine& listed) {
+  context_.out.CallWorker(
+      listed.address, InspectWorker{}, kCommandTimeout,
+      [this, listed,
+       alive = std::weak_ptr<int>(alive_)](const WorkerReply& reply) {
+        if (alive.expired() || !reply.report) return;
+        if (reply.report->token >= token_) return;
+        context_.out.Log(LogLevel::kInfo,
+                         "event=show_token part={} machine={} token={}",
+                         number_, listed.name, token_);
+        context_.out.CallWorker(
+            listed.address, CommandWorker{token_, reply.report->session, {}},
+            kCommandTimeout, [](const WorkerReply&) {});
+      });
+}
+
 void Part::AnswerReport(Machine& machine) {
   if (machine.waiting == 0) return;
   if (!MayAnswer()) {
     RefuseReport(machine);
     return;
   }
-  OrderPolicy policy;
-  policy.token = token_;
-  policy.may_start = context_.follower.Fresh() && machine.token_seen &&
-                     machine.TakesTasks(context_.now());
-  policy.wanted = [this](const HeldTask& task) { return Wanted(task); };
-  Orders orders{token_, MakeOrders(machine, policy)};
+  Orders orders{token_, MakeOrders(machine, Policy(machine))};
   context_.out.Answer(machine.waiting, 200, std::move(orders));
   machine.waiting = 0;
   machine.last_answer = context_.now();
@@ -224,6 +292,8 @@
   }
   CheckMachines();
   DeleteMachines();
+  SendStops();
+  ReachWorkers();
   if (storing_ || now < next_plan_) return;
   if (!dirty_ && now - next_plan_ < kIdlePlanGap) return;
   if (!context_.follower.Fresh()) {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -90,6 +90,13 @@
   void AnswerReports(SteadyTime before);
   void RefuseReport(Machine& machine);
 
+  OrderPolicy Policy(const Machine& machine) const;
+  // Stops go to the workers at once.
+  void SendStops();
+  // After a takeover: workers that still answer to an earlier owner are shown
+  // the new token, so that they look for the new one.
+  void ReachWorkers();
+  void ShowToken(const ListedMachine& listed);
   void CheckMachines();
   void DeleteMachines();
 
@@ -153,6 +160,9 @@
   SteadyTime next_plan_{};
   bool deleting_ = false;
   SteadyTime next_delete_{};
+  bool reaching_ = false;
+  int reaches_ = 0;
+  SteadyTime next_reach_{};
 };
 
 }  // namespace pitchfall
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -28,6 +28,7 @@
 
   // The timeout covers the wait for a free connection too.
   void Send(wire::HttpRequest request, Duration timeout, Handler handler);
+  bool idle() const { return calls_.empty(); }
 
  private:
   struct Call;
--- a/src/io/runtime.cc
+++ b/src/io/runtime.cc
@@ -100,7 +100,10 @@
     reply.call = id;
     Push(std::move(reply));
   };
-  if (workers_.size() > kMostWorkerClients) workers_.clear();
+  if (workers_.size() > kMostWorkerClients) {
+    std::erase_if(workers_,
+                  [](const auto& entry) { return entry.second->idle(); });
+  }
   auto& client = workers_[call.address];
   if (!client) {
     try {
