--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -10,6 +10,9 @@
 
 constexpr Duration kHelloGap = Millis(500);
 constexpr Duration kPeerFresh = Millis(2500);
+// Reads come several times a second; one that is late means little, a second
+// without any that this controller or the state service has trouble.
+constexpr Duration kHealthyAge = Millis(1200);
 // Of the shared rates, so that bursts that meet seldom go over.
 constexpr double kUsable = 0.95;
 
@@ -53,7 +56,9 @@
   ExchangeHellos();
   ConsiderStrays();
   follower_.Step();
-  return out_.TakeEffects();
+  std::vector<Effect> effects = out_.TakeEffects();
+  if (!Healthy()) SendElsewhere(effects);
+  return effects;
 }
 
 void Controller::FollowOwnership() {
@@ -108,16 +113,25 @@
 // answer that says when to come back than with no controller at all. If only
 // this one cannot, they are better off with another.
 bool Controller::Healthy() const {
-  if (follower_.Fresh()) return true;
+  if (follower_.loaded() && follower_.Age() < kHealthyAge) return true;
   for (const auto& [label, peer] : peers_) {
     if (out_.now().steady - peer.heard < kPeerFresh &&
-        peer.hello.state_age < Millis(2000)) {
+        peer.hello.state_age < kHealthyAge) {
       return false;
     }
   }
   return follower_.loaded();
 }
 
+// Clients keep their connections, so that one refused here would go on coming
+// here long after the load balancer has turned away.
+void Controller::SendElsewhere(std::vector<Effect>& effects) {
+  for (Effect& effect : effects) {
+    auto* reply = std::get_if<Reply>(&effect);
+    if (reply != nullptr && reply->status == 503) reply->close = true;
+  }
+}
+
 void Controller::On(const CheckIn& command) {
   uint32_t number = PartOf(command.report.machine, context_.parts);
   auto part = parts_.find(number);
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -55,6 +55,7 @@
   void ExchangeHellos();
   void ConsiderStrays();
   bool Healthy() const;
+  static void SendElsewhere(std::vector<Effect>& effects);
   std::vector<int64_t> FreeRoom() const;
 
   const Deployment deployment_;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -243,6 +243,9 @@
   int status = 200;
   ReplyBody body;
   std::optional<Duration> retry_after;
+  // The client is better served elsewhere: its next request should not come
+  // over this connection.
+  bool close = false;
 };
 struct StateCall {
   CallId call = 0;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -15,6 +15,7 @@
 constexpr Duration kIdlePlanGap = Millis(250);
 constexpr Duration kCommandTimeout = Millis(2000);
 // Workers whose owner is gone come by themselves within a few seconds.
+constexpr Duration kFirstReach = Millis(1000);
 constexpr Duration kReachGap = Millis(2500);
 constexpr int kMostReaches = 6;
 constexpr Duration kLeaseMargin = Millis(500);
@@ -32,7 +33,7 @@
       token_(token),
       owned_since_(context.now()),
       last_heard_(context.now()),
-      next_reach_(context.now() + kReachGap) {
+      next_reach_(context.now() + kFirstReach) {
   for (const auto& [id, job] : context_.mirror.open_jobs()) {
     for (const auto& [chunk, entry] : job->chunks) {
       OnChunk(*job, chunk, nullptr, &entry.record);
--- a/src/io/front.cc
+++ b/src/io/front.cc
@@ -72,7 +72,7 @@
   std::string_view path = raw_path == nullptr ? "" : raw_path;
   evhttp_cmd_type method = evhttp_request_get_command(request);
   auto fail = [&](int status, const std::string& why) {
-    Send(request, status, wire::EncodeReplyBody(Problem{why}), {});
+    Send(request, status, wire::EncodeReplyBody(Problem{why}), {}, false);
   };
   auto expect = [&](evhttp_cmd_type wanted) {
     if (method == wanted) return true;
@@ -126,11 +126,11 @@
                                 nullptr);
   waiting_.erase(it);
   Send(request, reply.status, wire::EncodeReplyBody(reply.body),
-       reply.retry_after);
+       reply.retry_after, reply.close);
 }
 
 void Front::Send(evhttp_request* request, int status, const std::string& body,
-                 std::optional<Duration> retry_after) {
+                 std::optional<Duration> retry_after, bool close) {
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Content-Type", "application/msgpack");
   if (retry_after) {
@@ -138,6 +138,7 @@
         std::max<int64_t>(1, (retry_after->count() + 999999) / 1000000);
     evhttp_add_header(headers, "Retry-After", std::to_string(seconds).c_str());
   }
+  if (close) evhttp_add_header(headers, "Connection", "close");
   evbuffer* output = evhttp_request_get_output_buffer(request);
   evbuffer_add(output, body.data(), body.size());
   evhttp_send_reply(request, status, nullptr, nullptr);
--- a/src/io/front.h
+++ b/src/io/front.h
@@ -36,7 +36,7 @@
   void Route(evhttp_request* request);
   RequestId Hold(evhttp_request* request);
   static void Send(evhttp_request* request, int status, const std::string& body,
-                   std::optional<Duration> retry_after);
+                   std::optional<Duration> retry_after, bool close);
 
   Sink sink_;
   HttpServer server_;
