--- a/src/core/jobs.cc
+++ b/src/core/jobs.cc
@@ -31,11 +31,15 @@
   auto team = deployment.teams.find(spec.team);
   if (team == deployment.teams.end()) return "unknown team " + spec.team;
   const Team& limits = team->second;
-  if (limits.cpus_limit > 0 && spec.need.cpus > limits.cpus_limit) {
-    return "a task needs more processors than team " + spec.team + " may use";
+  // Tasks of an array can run one after another, others only together.
+  int64_t at_once = spec.shape == Shape::kArray ? 1 : spec.tasks;
+  Resources need = spec.need * at_once;
+  if (limits.cpus_limit > 0 && need.cpus > limits.cpus_limit) {
+    return "needs more processors at once than team " + spec.team + " may use";
   }
-  if (limits.gpus_limit > 0 && spec.need.gpus > limits.gpus_limit) {
-    return "a task needs more accelerators than team " + spec.team + " may use";
+  if (limits.gpus_limit > 0 && need.gpus > limits.gpus_limit) {
+    return "needs more accelerators at once than team " + spec.team +
+           " may use";
   }
   for (const MachineType& type : types.types) {
     if (!spec.AllowsType(type.name)) continue;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -334,6 +334,12 @@
                        "event=worker_lost machine={} proof=lease tasks={}",
                        machine.name, machine.held.size());
     }
+    if (machine.drain || machine.sick) {
+      // Services would never end: they go on elsewhere.
+      for (auto& [key, task] : machine.held) {
+        if (task.job->spec().shape == Shape::kService) task.leave = true;
+      }
+    }
     if (machine.taken_at) {
       // Save what can be saved before the machine is taken.
       Duration left = *machine.taken_at - now;
@@ -626,6 +632,31 @@
   return true;
 }
 
+// Whether all of a gang can start now: none of it may still be running, and the
+// machines must have room for all of it together.
+bool Part::GangFits(const Job& job, const std::vector<Machine*>& open) const {
+  const JobSpec& spec = job.spec();
+  if (job.assigned > 0) return false;
+  uint32_t left = spec.tasks - std::min(spec.tasks, job.done);
+  const Team& team = context_.deployment.teams.at(spec.team);
+  Resources use = TeamUseEverywhere(spec.team) + spec.need * left;
+  if ((team.cpus_limit > 0 && use.cpus > team.cpus_limit) ||
+      (team.gpus_limit > 0 && use.gpus > team.gpus_limit)) {
+    return false;
+  }
+  std::map<std::string, int64_t> by_zone;
+  int64_t all = 0;
+  for (const Machine* machine : open) {
+    if (!Allowed(spec, *machine, {})) continue;
+    int64_t count = spec.need.CountIn(machine->Free(), left);
+    by_zone[machine->zone] += count;
+    all += count;
+  }
+  if (!spec.one_zone) return all >= left;
+  return std::any_of(by_zone.begin(), by_zone.end(),
+                     [&](const auto& zone) { return zone.second >= left; });
+}
+
 bool Part::MayServe(const Job& job, uint32_t chunk, bool overdue) const {
   if (job.constrained() && job.record.chunk_count() > kConstrainedChunks &&
       job.record.home != number_) {
@@ -723,6 +754,10 @@
       }
     }
     uint32_t starts_before = draft.starts;
+    if (spec.shape == Shape::kGang && !GangFits(*job, open)) {
+      if (overdue) DraftReleases(draft, *job);
+      continue;
+    }
     bool placed_all = true;
     for (uint32_t chunk = 0; chunk < job->record.chunk_count(); ++chunk) {
       if (!MayServe(*job, chunk, overdue)) continue;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -113,6 +113,7 @@
   bool LeavesReserved(const JobSpec& spec) const;
   void DraftCleanUp(Draft& draft);
   void DraftGiveBack(Draft& draft);
+  bool GangFits(const Job& job, const std::vector<Machine*>& open) const;
   // Whether this part may start waiting tasks of the chunk.
   bool MayServe(const Job& job, uint32_t chunk, bool overdue) const;
   // Gives up chunks that wait here for room that another part may have.
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -31,11 +31,18 @@
 
 enum class Priority : uint8_t { kLow = 0, kNormal, kHigh, kProduction };
 
+enum class Shape : uint8_t {
+  kArray = 0,  // independent tasks, each runs to completion
+  kGang,       // tasks that run at the same time
+  kService,    // tasks that run until the job is cancelled
+};
+
 // A job as its user described it.
 struct JobSpec {
   std::string id;
   std::string job_class;
   std::string team;
+  Shape shape = Shape::kArray;
   Priority priority = Priority::kNormal;
   uint32_t tasks = 0;
   Resources need;
--- a/src/core/users.cc
+++ b/src/core/users.cc
@@ -177,6 +177,8 @@
   uint32_t chunks = constrained ? kConstrainedChunks : 64;
   record.chunk_size = std::clamp((spec.tasks + chunks - 1) / chunks,
                                  context_.tuning.chunk_tasks, kLargestChunk);
+  // A gang starts as one: one part has to find room for all of it.
+  if (spec.shape == Shape::kGang) record.chunk_size = spec.tasks;
   // The roomiest part takes the job; if it has not room for all of it, the
   // parts take its chunks in turn.
   std::vector<int64_t> room = free_room_();
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "core/limits.h"
 #include "wire/pack.h"
 #include "wire/records.h"
 
@@ -33,7 +34,11 @@
                                           {"high", Priority::kHigh},
                                           {"standard", Priority::kNormal},
                                           {"best_effort", Priority::kLow}};
+constexpr Word<Shape> kShapes[] = {{"sweep", Shape::kArray},
+                                   {"gang", Shape::kGang},
+                                   {"standing", Shape::kService}};
 constexpr Word<TaskState> kTaskStates[] = {{"pulling", TaskState::kFetching},
+                                           {"waiting", TaskState::kFetching},
                                            {"running", TaskState::kRunning},
                                            {"flushing", TaskState::kSaving},
                                            {"exited", TaskState::kExited}};
@@ -89,7 +94,7 @@
   if (!ValidJobId(spec.id)) Fields::Fail("uid", "has the wrong form");
   spec.job_class = ReadName(in, "lane");
   spec.team = ReadName(in, "crew");
-  if (in.Text("shape") != "sweep") Fields::Fail("shape", "is not supported");
+  spec.shape = ReadWord(in, "shape", kShapes);
   spec.priority = ReadWord(in, "urgency", kPriorities);
   spec.tasks = static_cast<uint32_t>(in.Count("legs", kMostTasks));
   if (spec.tasks == 0) Fields::Fail("legs", "is 0");
@@ -110,9 +115,18 @@
   spec.one_zone = in.FlagOr("together", false);
   spec.spread = in.FlagOr("scatter", false);
   spec.spot = in.FlagOr("loaners", false);
-  spec.estimate = ReadSeconds(in, "expected_s");
-  spec.checkpoint = ReadSeconds(in, "waypoint_s");
-  spec.save = ReadSeconds(in, "stow_s");
+  // A service runs until it is cancelled: there is nothing to estimate.
+  bool service = spec.shape == Shape::kService;
+  auto seconds = [&](std::string_view key) {
+    return service && in.Find(key) == nullptr ? Duration(0)
+                                              : ReadSeconds(in, key);
+  };
+  spec.estimate = seconds("expected_s");
+  spec.checkpoint = seconds("waypoint_s");
+  spec.save = seconds("stow_s");
+  if (spec.shape == Shape::kGang && spec.tasks > kLargestChunk) {
+    Fields::Fail("legs", "is too large for a gang");
+  }
   if (in.Find("due_s") != nullptr) spec.deadline = ReadSeconds(in, "due_s");
   return spec;
 }
--- a/src/wire/records.cc
+++ b/src/wire/records.cc
@@ -50,7 +50,7 @@
 
 void Pack(Packer& out, const JobRecord& job) {
   const JobSpec& spec = job.spec;
-  out.Map(23);
+  out.Map(24);
   out.Pair("id", spec.id).Pair("class", spec.job_class).Pair("team", spec.team);
   out.Pair("prio", static_cast<int>(spec.priority)).Pair("tasks", spec.tasks);
   PackResources(out.Key("need"), spec.need);
@@ -75,6 +75,7 @@
   out.Pair("at", job.submitted.time_since_epoch().count());
   out.Pair("chunk", job.chunk_size).Pair("home", job.home);
   out.Pair("over", job.spread_over).Pair("v", 1);
+  out.Pair("shape", static_cast<int>(spec.shape));
 }
 
 JobRecord ReadJob(const Fields& in) {
@@ -85,6 +86,7 @@
   spec.team = in.Text("team");
   spec.priority = static_cast<Priority>(in.Count("prio", 3));
   spec.tasks = static_cast<uint32_t>(in.Count("tasks", UINT32_MAX));
+  spec.shape = static_cast<Shape>(in.Count("shape", 2));
   spec.need = ReadResources(in, "need");
   spec.image = in.Text("image");
   spec.image_gb = in.Amount("image_gb", kMostAmount);
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -71,7 +71,7 @@
   JobSpec spec;
   standins::TaskInfo info;
   bool submitted = false;
-  bool accepted = false;
+  std::optional<SteadyTime> accepted;  // when its user was told
   bool asked_cancel = false;
   std::optional<SteadyTime> cancelled;
   std::optional<SteadyTime> told_done;
@@ -162,9 +162,9 @@
 }
 
 int World::accepted() const {
-  return static_cast<int>(
-      std::count_if(jobs_.begin(), jobs_.end(),
-                    [](const auto& entry) { return entry.second->accepted; }));
+  return static_cast<int>(std::count_if(
+      jobs_.begin(), jobs_.end(),
+      [](const auto& entry) { return entry.second->accepted.has_value(); }));
 }
 
 int World::finished() const {
@@ -600,7 +600,7 @@
     }
     if (!job.told_done) job.told_done = now_;
   }
-  job.accepted = true;
+  if (!job.accepted) job.accepted = now_;
 }
 
 void World::TrySubmit(const std::string& id, SteadyTime since) {
@@ -666,7 +666,8 @@
         JobModel& job = *jobs_[id];
         if (reply && reply->status == 200) {
           CheckAnswer(job, std::get<JobAnswer>(reply->body), asked);
-        } else if (reply && reply->status == 404 && job.accepted) {
+        } else if (reply && reply->status == 404 && job.accepted &&
+                   asked >= *job.accepted) {
           Violation("forgotten", id + " cancel answered 404");
         } else if (!reply || reply->status != 404) {
           After(Between(1, 2), [this, id] { TryCancel(id); });
