--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -196,15 +196,15 @@
   node.controller = std::make_unique<Controller>(
       d, tuning, fmt::format("{}x{}", index, node.life));
   Note(fmt::format("node {} starts, life {}", index, node.life));
-  auto tick = std::make_shared<std::function<void(uint64_t)>>();
-  *tick = [this, index, tick](uint64_t life) {
-    Node& n = *nodes_[index];
-    if (n.life != life || !n.controller) return;
-    Deliver(index, life, Tick{});
-    After(kTick, [tick, life] { (*tick)(life); });
-  };
   uint64_t life = node.life;
-  After(Duration(0), [tick, life] { (*tick)(life); });
+  After(Duration(0), [this, index, life] { TickNode(index, life); });
+}
+
+void World::TickNode(size_t index, uint64_t life) {
+  Node& node = *nodes_[index];
+  if (node.life != life || !node.controller) return;
+  Deliver(index, life, Tick{});
+  After(kTick, [this, index, life] { TickNode(index, life); });
 }
 
 void World::CrashNode(size_t index, Duration down) {
@@ -411,19 +411,20 @@
   box->node = Pick(kNodes);
   cloud_.SetStatus(name, "running", now_);
   machines_[name] = std::move(box);
-  auto step = std::make_shared<std::function<void()>>();
-  *step = [this, name, step] {
-    auto it = machines_.find(name);
-    if (it == machines_.end() || it->second->dead) return;
-    Box& b = *it->second;
-    bool changed = b.worker->Advance(now_);
-    if (changed) {
-      b.next_report = std::min(b.next_report, b.last_report + Millis(500));
-    }
-    if (!b.waiting && !b.worker->hanging && now_ >= b.next_report) Report(name);
-    After(Millis(50), *step);
-  };
-  After(Duration(0), *step);
+  After(Duration(0), [this, name] { StepMachine(name); });
+}
+
+void World::StepMachine(const std::string& name) {
+  auto it = machines_.find(name);
+  if (it == machines_.end() || it->second->dead) return;
+  Box& box = *it->second;
+  if (box.worker->Advance(now_)) {
+    box.next_report = std::min(box.next_report, box.last_report + Millis(500));
+  }
+  if (!box.waiting && !box.worker->hanging && now_ >= box.next_report) {
+    Report(name);
+  }
+  After(Millis(50), [this, name] { StepMachine(name); });
 }
 
 void World::Report(const std::string& name) {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -82,6 +82,7 @@
 
   // Controllers.
   void StartNode(size_t index);
+  void TickNode(size_t index, uint64_t life);
   void CrashNode(size_t index, Duration down);
   void Deliver(size_t index, uint64_t life, Command command);
   void Perform(Node& node, const Effect& effect);
@@ -96,6 +97,7 @@
 
   // Machines.
   void AddMachine(const standins::Cloud::Machine& machine);
+  void StepMachine(const std::string& name);
   void Report(const std::string& name);
   void OnTask(const std::string& machine, const std::string& task,
               standins::Worker::TaskEvent event);
