--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -15,7 +15,10 @@
 
 kj::Array<capnp::word> Aligned(std::string_view data) {
   auto words = kj::heapArray<capnp::word>(data.size() / kWord);
-  std::memcpy(words.begin(), data.data(), words.size() * kWord);
+  // Of an empty buffer the address may be null, which memcpy must not be given.
+  if (words.size() > 0) {
+    std::memcpy(words.begin(), data.data(), words.size() * kWord);
+  }
   return words;
 }
 
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -315,6 +315,8 @@
   EXPECT_EQ(back->writes, hello.writes);
 }
 
+TEST(Hello, SizeOfNothingIsAsked) { EXPECT_EQ(HelloSize({}), 8u); }
+
 // A platform's answer that cannot be read is no answer: whether the request was
 // carried out is unknown.
 TEST(StateReplies, UnreadableOnesCountAsNone) {
