One piece of the simulation answers all outgoing calls

The three stand-ins each had the same first-reply-or-timeout closure; the box's 'dead' flag was never set.

--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -64,7 +64,6 @@
   bool waiting = false;
   SteadyTime next_report{};
   SteadyTime last_report{};
-  bool dead = false;
 };
 
 struct World::JobModel {
@@ -252,18 +251,30 @@
   }
 }
 
-void World::PerformState(Node& node, const StateCall& call) {
-  size_t index = node.index;
-  uint64_t life = node.life;
+// What takes a reply to the call's maker: the first one, or none by its
+// timeout.
+template <typename Call, typename Decode>
+World::Answer World::AnswerOnce(const Node& node, const Call& call,
+                                Decode decode) {
   auto answered = std::make_shared<bool>(false);
-  auto answer = [this, index, life, call, answered](int status,
-                                                    std::string body) {
+  Answer answer = [this, index = node.index, life = node.life, id = call.call,
+                   decode, answered](int status, const std::string& body) {
     if (std::exchange(*answered, true)) return;
-    StateReply reply = wire::DecodeState(call.request, status, body);
-    reply.call = call.call;
+    auto reply = decode(status, body);
+    reply.call = id;
     Deliver(index, life, std::move(reply));
   };
   After(call.timeout, [answer] { answer(0, ""); });
+  return answer;
+}
+
+void World::PerformState(Node& node, const StateCall& call) {
+  size_t index = node.index;
+  auto answer =
+      AnswerOnce(node, call,
+                 [request = call.request](int status, const std::string& body) {
+                   return wire::DecodeState(request, status, body);
+                 });
   wire::HttpRequest http = wire::EncodeState(call.request);
   auto execute = [this, http] {
     return state_.Handle(http.post ? "POST" : "GET", http.path, http.body,
@@ -296,17 +307,11 @@
 }
 
 void World::PerformCloud(Node& node, const CloudCall& call) {
-  size_t index = node.index;
-  uint64_t life = node.life;
-  auto answered = std::make_shared<bool>(false);
-  auto answer = [this, index, life, call, answered](int status,
-                                                    std::string body) {
-    if (std::exchange(*answered, true)) return;
-    CloudReply reply = wire::DecodeCloud(call.request, status, body);
-    reply.call = call.call;
-    Deliver(index, life, std::move(reply));
-  };
-  After(call.timeout, [answer] { answer(0, ""); });
+  auto answer =
+      AnswerOnce(node, call,
+                 [request = call.request](int status, const std::string& body) {
+                   return wire::DecodeCloud(request, status, body);
+                 });
   wire::HttpRequest http = wire::EncodeCloud(call.request);
   auto execute = [this, http] {
     return cloud_.Handle(http.post ? "POST" : "GET", http.path, http.body,
@@ -323,21 +328,13 @@
 }
 
 void World::PerformWorker(Node& node, const WorkerCall& call) {
-  size_t index = node.index;
-  uint64_t life = node.life;
-  auto answered = std::make_shared<bool>(false);
-  auto answer = [this, index, life, call, answered](int status,
-                                                    std::string body) {
-    if (std::exchange(*answered, true)) return;
-    WorkerReply reply = wire::DecodeWorker(status, body);
-    reply.call = call.call;
-    Deliver(index, life, std::move(reply));
-  };
-  After(call.timeout, [answer] { answer(0, ""); });
+  auto answer = AnswerOnce(node, call, [](int status, const std::string& body) {
+    return wire::DecodeWorker(status, body);
+  });
   wire::HttpRequest http = wire::EncodeWorker(call.request);
   auto execute = [this, call, http]() -> std::optional<standins::HttpReply> {
     for (auto& [name, box] : machines_) {
-      if (box->worker->config().address != call.address || box->dead) continue;
+      if (box->worker->config().address != call.address) continue;
       return box->worker->Handle(http.post ? "POST" : "GET", http.path,
                                  http.body, now_);
     }
@@ -416,7 +413,7 @@
 
 void World::StepMachine(const std::string& name) {
   auto it = machines_.find(name);
-  if (it == machines_.end() || it->second->dead) return;
+  if (it == machines_.end()) return;
   Box& box = *it->second;
   if (box.worker->Advance(now_)) {
     box.next_report = std::min(box.next_report, box.last_report + Millis(500));
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -86,6 +86,9 @@
   void CrashNode(size_t index, Duration down);
   void Deliver(size_t index, uint64_t life, Command command);
   void Perform(Node& node, const Effect& effect);
+  using Answer = std::function<void(int, const std::string&)>;
+  template <typename Call, typename Decode>
+  Answer AnswerOnce(const Node& node, const Call& call, Decode decode);
   void PerformState(Node& node, const StateCall& call);
   void PerformCloud(Node& node, const CloudCall& call);
   void PerformWorker(Node& node, const WorkerCall& call);
