Objectives that name no class are read

Cause: the grown claims deployment has an objective on work within a guarantee, which names no class; the settings were refused and no controller started. Conclusion: the class is optional; an objective without one holds for all.

--- a/src/cli/deployment_file.cc
+++ b/src/cli/deployment_file.cc
@@ -33,6 +33,10 @@
     return text;
   }
 
+  std::string TextOr(std::string_view key, std::string fallback) const {
+    return Has(key) ? Text(key) : std::move(fallback);
+  }
+
   double Number(std::string_view key, double least, double most) const {
     const toml::node* node = Need(key);
     if (!node->is_number()) Fail(key, "must be a number");
@@ -144,7 +148,7 @@
   for (const Table& row : cluster.Children("objectives")) {
     Objective objective;
     objective.kind = row.Text("kind");
-    objective.job_class = row.Text("class");
+    objective.job_class = row.TextOr("class", "");
     objective.within = Seconds(row.NumberOr("within_s", 0, kMost, 0));
     objective.share = row.NumberOr("share", 0, 1, 0);
     d.objectives.push_back(std::move(objective));
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -23,7 +23,7 @@
 
 struct Objective {
   std::string kind;
-  std::string job_class;
+  std::string job_class;  // empty: whatever the class
   Duration within{0};
   double share = 0;
 };
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -71,6 +71,15 @@
   EXPECT_EQ(d.objectives[0].within, Seconds(70));
 }
 
+// An objective on work within a guarantee names no class.
+TEST(DeploymentFile, TakesAnObjectiveForAllClasses) {
+  Deployment d = ParseDeployment(Replaced("class = \"x\"\n", ""), "node.toml");
+  ASSERT_EQ(d.objectives.size(), 1u);
+  EXPECT_EQ(d.objectives[0].job_class, "");
+  EXPECT_EQ(Why(Replaced("class = \"x\"", "class = \"\"")),
+            "node.toml: cluster.objectives[0].class must not be empty");
+}
+
 TEST(DeploymentFile, SaysFileKeyAndReason) {
   EXPECT_EQ(Why(Replaced("label = \"node-0\"", "")),
             "node.toml: label is missing");
