--- a/src/core/context.h
+++ b/src/core/context.h
@@ -9,6 +9,7 @@
 #include "core/follower.h"
 #include "core/mirror.h"
 #include "core/outbox.h"
+#include "core/room.h"
 #include "core/settings.h"
 
 namespace pitchfall {
@@ -24,6 +25,7 @@
   TokenBucket& cloud;     // calls to the cloud
   std::string life;       // names this process among all that ever ran
   uint32_t parts;         // how many there are
+  RoomBook room;
   // Writes that submissions have waited for so long that the rest must leave
   // them over.
   double writes_kept = 0;
--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -36,9 +36,12 @@
                std::move(life),
                tuning_.parts > 0
                    ? tuning_.parts
-                   : static_cast<uint32_t>(deployment_.peers.size() + 1)},
+                   : static_cast<uint32_t>(deployment_.peers.size() + 1),
+               RoomBook(tuning_.parts > 0 ? tuning_.parts
+                                          : static_cast<uint32_t>(
+                                                deployment_.peers.size() + 1))},
       ownership_(context_),
-      users_(context_, [this] { return FreeRoom(); }) {}
+      users_(context_) {}
 
 std::vector<Effect> Controller::Handle(Now now,
                                        std::span<const Command> commands) {
@@ -159,19 +162,10 @@
   Duration age = out_.now().wall - hello.sent;
   if (age > kPeerFresh + 2 * deployment_.time_bound) return;
   peers_[hello.label] = {hello, out_.now().steady};
-}
-
-std::vector<int64_t> Controller::FreeRoom() const {
-  std::vector<int64_t> room(context_.parts, 0);
-  for (const auto& [label, peer] : peers_) {
-    if (out_.now().steady - peer.heard > kPeerFresh) continue;
-    for (size_t i = 0; i < std::min(room.size(), peer.hello.free_cpus.size());
-         ++i) {
-      if (peer.hello.free_cpus[i] >= 0) room[i] = peer.hello.free_cpus[i];
-    }
+  for (uint32_t part = 0; part < hello.free_cpus.size(); ++part) {
+    if (hello.free_cpus[part] < 0) continue;
+    context_.room.Hear(part, hello.free_cpus[part], out_.now().steady);
   }
-  for (const auto& [number, part] : parts_) room[number] = part->FreeCpus();
-  return room;
 }
 
 void Controller::ExchangeHellos() {
@@ -208,6 +202,7 @@
   hello.free_cpus.assign(context_.parts, -1);
   for (const auto& [number, part] : parts_) {
     hello.free_cpus[number] = part->FreeCpus();
+    context_.room.Hear(number, hello.free_cpus[number], now);
   }
   out_.Send(std::move(hello));
 }
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -56,7 +56,6 @@
   void ConsiderStrays();
   bool Healthy() const;
   static void SendElsewhere(std::vector<Effect>& effects);
-  std::vector<int64_t> FreeRoom() const;
 
   const Deployment deployment_;
   const Tuning tuning_;
--- a/src/core/demand.cc
+++ b/src/core/demand.cc
@@ -19,16 +19,15 @@
   JobShare share;
   for (uint32_t n = 0; n < job.record.chunk_count(); ++n) {
     const Job::Chunk* chunk = job.FindChunk(n);
-    uint32_t tasks = job.chunk_end(n) - job.chunk_begin(n);
-    if (chunk == nullptr || chunk->record.part == ChunkRecord::kNobody) {
-      uint32_t done = chunk == nullptr ? 0 : CountTasks(chunk->record.done);
-      if (job.home_of(n, parts) == *part) share.waiting += tasks - done;
-    } else if (chunk->record.part == *part) {
+    uint32_t busy = 0;
+    if (chunk != nullptr) {
       auto running = static_cast<uint32_t>(chunk->record.assigned.size());
-      share.running += running;
-      uint32_t busy = running + CountTasks(chunk->record.done);
-      share.waiting += tasks - std::min(tasks, busy);
+      if (chunk->part == *part) share.running += running;
+      busy = running + CountTasks(chunk->record.done);
     }
+    if (job.owner_of(n, parts).part != *part) continue;
+    uint32_t tasks = job.chunk_end(n) - job.chunk_begin(n);
+    share.waiting += tasks - std::min(tasks, busy);
   }
   return share;
 }
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -141,13 +141,6 @@
   }
 }
 
-bool Fleet::Draining(const std::string& machine) const {
-  const auto& drain = context_.mirror.drain();
-  return drain &&
-         std::find(drain->value.machines.begin(), drain->value.machines.end(),
-                   machine) != drain->value.machines.end();
-}
-
 double Fleet::Price(const Offer& offer) const {
   const MachineType* type = context_.mirror.FindType(offer.type);
   if (type == nullptr) return 1e9;
@@ -260,7 +253,7 @@
     } else if (!known.idle_since) {
       known.idle_since = now;
     }
-    if (Draining(name)) continue;
+    if (context_.mirror.Draining(name)) continue;
     const MachineType* type = context_.mirror.FindType(known.offer.type);
     Duration boot = type == nullptr ? Millis(60000) : type->boot;
     bool overdue = known.status == MachineStatus::kBooting && !known.worked &&
@@ -340,7 +333,7 @@
   // every job at least one machine that it may run on.
   int ordinary = Pending(true);
   for (const auto& [name, known] : machines_) {
-    if (!known.offer.spot && !Draining(name)) ++ordinary;
+    if (!known.offer.spot && !context_.mirror.Draining(name)) ++ordinary;
   }
   double needed = MachinesFor(demand.ordinary_only);
   if (needed > ordinary) {
@@ -351,7 +344,8 @@
     const JobSpec& spec = job->spec();
     bool served = false;
     for (const auto& [name, known] : machines_) {
-      served |= !Draining(name) && known.status != MachineStatus::kFailed &&
+      served |= !context_.mirror.Draining(name) &&
+                known.status != MachineStatus::kFailed &&
                 Serves(spec, known.offer);
     }
     for (const auto& [name, rental] : context_.mirror.rentals()) {
@@ -427,7 +421,9 @@
   SteadyTime now = context_.now();
   std::vector<std::tuple<double, double, std::string>> choice;
   for (const auto& [name, known] : machines_) {
-    if (Draining(name) || known.status != MachineStatus::kRunning) continue;
+    if (context_.mirror.Draining(name) ||
+        known.status != MachineStatus::kRunning)
+      continue;
     auto used = use.find(name);
     bool empty = used == use.end();
     // Before the least charge is used up returning it saves nothing.
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -68,7 +68,6 @@
   double MachinesFor(const Resources& room) const;
   std::vector<double> Targets(const Demand& demand, double* room) const;
   int Pending(bool ordinary_only) const;
-  bool Draining(const std::string& machine) const;
   void Store(Transaction txn, Outbox::StateHandler handler);
 
   Context& context_;
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -64,11 +64,15 @@
                    fresh->AdvanceTo(first);
                    mirror_.Replace(std::move(*fresh));
                    loaded_ = true;
-                   wanted_ = true;  // what changed between the pages
+                   // The pages are of different moments: a segment may name
+                   // jobs that the page before did not have yet. Nothing is
+                   // known for sure before what changed since has been read.
+                   wanted_ = true;
                    out_.Log(LogLevel::kInfo,
                             "event=state_loaded revision={} open_jobs={}",
                             mirror_.revision(), mirror_.open_jobs().size());
-                   Finish(true);
+                   Finish(false);
+                   next_ = out_.now().steady;
                  });
 }
 
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -2,6 +2,7 @@
 #ifndef PITCHFALL_CORE_JOBS_H_
 #define PITCHFALL_CORE_JOBS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -15,7 +16,10 @@
 struct Job {
   struct Chunk {
     ChunkRecord record;
+    // Of the segment that holds this version, and where that lies.
     uint64_t stamp = 0;
+    uint32_t part = 0;
+    uint32_t slot = 0;
   };
 
   JobRecord record;
@@ -27,7 +31,7 @@
   uint32_t assigned = 0;
 
   const JobSpec& spec() const { return record.spec; }
-  bool open() const { return !record.final() || !chunks.empty(); }
+  bool open() const { return !record.final() || assigned > 0; }
   // Tasks that are neither done nor bound to a machine.
   uint32_t waiting() const {
     if (record.final()) return 0;
@@ -40,12 +44,12 @@
   uint32_t chunk_end(uint32_t chunk) const {
     return std::min(spec().tasks, (chunk + 1) * record.chunk_size);
   }
-  // The part that should take this chunk first.
-  uint32_t home_of(uint32_t chunk, uint32_t parts) const {
-    return (record.home + chunk % std::max(1u, record.spread_over)) % parts;
+  ChunkOwner owner_of(uint32_t chunk, uint32_t parts) const {
+    if (chunk < record.owners.size()) return record.owners[chunk];
+    uint32_t turn = chunk % std::max(1u, record.spread_over);
+    return {(record.home + turn) % parts, 0};
   }
-  // Jobs whose tasks' places depend on each other. All parts may run some of
-  // them, each start depending on all their chunks, as long as these are few.
+  // Jobs whose tasks' places depend on each other: one part runs all of them.
   bool constrained() const { return spec().one_zone || spec().spread; }
   const Chunk* FindChunk(uint32_t chunk) const {
     auto it = chunks.find(chunk);
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -6,12 +6,12 @@
 
 namespace pitchfall {
 
-// With each task on a machine of its own a chunk's record stays below 8 KiB.
-inline constexpr uint32_t kLargestChunk = 128;
+// Into how many chunks a job is cut at the most.
+inline constexpr uint32_t kMostChunks = 64;
 
-// A constrained job's starts depend on all of its chunks; a transaction takes
-// four conditions for each of its writes.
-inline constexpr uint32_t kConstrainedChunks = 6;
+// How many tasks of a chunk may be on machines at once: with each on a machine
+// of its own the chunk's record still fits into a segment.
+inline constexpr uint32_t kMostInChunk = 96;
 
 }  // namespace pitchfall
 
--- a/src/core/mirror.cc
+++ b/src/core/mirror.cc
@@ -45,8 +45,8 @@
   std::string_view rest = change.key;
   if (TakePrefix(rest, keys::kJobs)) {
     ApplyJob(std::string(rest), change);
-  } else if (TakePrefix(rest, keys::kRuns)) {
-    ApplyChunk(std::string(rest), change);
+  } else if (TakePrefix(rest, keys::kSegments)) {
+    ApplySegment(rest, change);
   } else if (TakePrefix(rest, keys::kNodes)) {
     ApplyTo(nodes_, std::string(rest), change);
   } else if (TakePrefix(rest, keys::kParts)) {
@@ -59,6 +59,11 @@
     ApplyTo(types_, change);
   } else if (change.key == keys::kDrain) {
     ApplyTo(drain_, change);
+    draining_.clear();
+    if (drain_) {
+      draining_.insert(drain_->value.machines.begin(),
+                       drain_->value.machines.end());
+    }
   } else if (TakePrefix(rest, keys::kLoads)) {
     ApplyTo(loads_, std::string(rest), change);
   } else if (change.key == keys::kSizing) {
@@ -71,6 +76,7 @@
   revision_ = revision;
   std::erase_if(tombstones_,
                 [&](const auto& entry) { return entry.second <= revision; });
+  Settle();
 }
 
 void Mirror::ApplyJob(const std::string& id, const Change& change) {
@@ -85,46 +91,57 @@
   Refresh(*slot);
 }
 
-void Mirror::ApplyChunk(const std::string& id_and_chunk, const Change& change) {
-  size_t slash = id_and_chunk.rfind('/');
-  if (slash == std::string::npos) return;
-  auto job = jobs_.find(id_and_chunk.substr(0, slash));
-  if (job == jobs_.end()) return;
-  uint32_t chunk = 0;
-  const char* end = id_and_chunk.data() + id_and_chunk.size();
-  if (std::from_chars(id_and_chunk.data() + slash + 1, end, chunk).ptr != end) {
+void Mirror::ApplySegment(std::string_view part_and_slot,
+                          const Change& change) {
+  size_t slash = part_and_slot.find('/');
+  if (slash == std::string_view::npos) return;
+  auto number = [](std::string_view text, uint32_t& out) {
+    const char* end = text.data() + text.size();
+    return std::from_chars(text.data(), end, out).ptr == end;
+  };
+  uint32_t part = 0;
+  uint32_t slot = 0;
+  if (!number(part_and_slot.substr(0, slash), part) ||
+      !number(part_and_slot.substr(slash + 1), slot)) {
     return;
   }
-  const ChunkRecord* record =
-      change.value ? std::get_if<ChunkRecord>(&*change.value) : nullptr;
-  SetChunk(*job->second, chunk,
-           record ? std::optional<ChunkRecord>(*record) : std::nullopt,
-           change.stamp);
-}
-
-void Mirror::SetChunk(Job& job, uint32_t chunk,
-                      std::optional<ChunkRecord> record, uint64_t stamp) {
-  auto it = job.chunks.find(chunk);
-  if (it != job.chunks.end() && it->second.stamp >= stamp) return;
-  if (it == job.chunks.end() && !record) return;
-  std::optional<ChunkRecord> before;
-  if (it != job.chunks.end()) {
-    before = std::move(it->second.record);
-    job.done -= CountTasks(before->done);
-    job.assigned -= static_cast<uint32_t>(before->assigned.size());
+  const SegmentRecord* record =
+      change.value ? std::get_if<SegmentRecord>(&*change.value) : nullptr;
+  Segment& segment = segments_[{part, slot}];
+  // The same again may name jobs that were unknown the first time.
+  if (record == nullptr || segment.stamp > change.stamp) return;
+  segment.stamp = change.stamp;
+  segment.chunks.clear();
+  for (const SegmentRecord::Entry& entry : record->entries) {
+    auto job = jobs_.find(entry.job);
+    if (job == jobs_.end()) continue;
+    segment.chunks.push_back({entry.job, entry.chunk});
+    SetChunk(*job->second, entry.chunk,
+             {entry.record, change.stamp, part, slot});
   }
-  const ChunkRecord* after = nullptr;
-  if (record) {
-    Job::Chunk& slot = job.chunks[chunk];
-    slot = {std::move(*record), stamp};
-    job.done += CountTasks(slot.record.done);
-    job.assigned += static_cast<uint32_t>(slot.record.assigned.size());
-    after = &slot.record;
-  } else {
-    job.chunks.erase(it);
+}
+
+// A chunk that has been given away is newer in the new owner's segments,
+// whenever the old owner copies its last version forward.
+void Mirror::SetChunk(Job& job, uint32_t chunk, Job::Chunk version) {
+  auto order = [](const Job::Chunk& c) {
+    return std::pair(c.record.epoch, c.stamp);
+  };
+  auto [it, is_new] = job.chunks.try_emplace(chunk);
+  Job::Chunk& slot = it->second;
+  if (!is_new && order(slot) >= order(version)) return;
+  if (!is_new && slot.part == version.part && slot.record == version.record) {
+    // Copied forward.
+    slot.stamp = version.stamp;
+    slot.slot = version.slot;
+    return;
   }
+  Job::Chunk before = std::exchange(slot, std::move(version));
+  job.done += CountTasks(slot.record.done) - CountTasks(before.record.done);
+  job.assigned += static_cast<uint32_t>(slot.record.assigned.size()) -
+                  static_cast<uint32_t>(before.record.assigned.size());
   for (ChunkListener* listener : listeners_) {
-    listener->OnChunk(job, chunk, before ? &*before : nullptr, after);
+    listener->OnChunk(job, chunk, is_new ? nullptr : &before, &slot);
   }
   Refresh(job);
 }
@@ -132,14 +149,30 @@
 void Mirror::Refresh(Job& job) {
   if (job.open()) {
     open_jobs_[job.spec().id] = &job;
-    return;
+    closing_.erase(&job);
+  } else {
+    open_jobs_.erase(job.spec().id);
+    closing_.insert(&job);
   }
-  open_jobs_.erase(job.spec().id);
-  // Of a job that is over only its end is still asked for.
-  JobSpec spec;
-  spec.id = job.spec().id;
-  spec.tasks = job.spec().tasks;
-  job.record.spec = std::move(spec);
+}
+
+// Of a job that is over only its end is still asked for. It is forgotten only
+// once everything up to the newest change has been read: an older segment that
+// is read later would otherwise bind its tasks again, and what they need would
+// be unknown.
+void Mirror::Settle() {
+  std::erase_if(closing_, [this](Job* job) {
+    for (const auto& [number, chunk] : job->chunks) {
+      if (chunk.stamp > revision_) return false;
+    }
+    job->chunks.clear();
+    JobSpec spec;
+    spec.id = job->spec().id;
+    spec.tasks = job->spec().tasks;
+    job->record.spec = std::move(spec);
+    job->record.owners = {};
+    return true;
+  });
 }
 
 void Mirror::Replace(Mirror fresh) {
@@ -147,7 +180,7 @@
   for (const auto& [id, job] : open_jobs_) {
     for (const auto& [number, chunk] : job->chunks) {
       for (ChunkListener* listener : listeners) {
-        listener->OnChunk(*job, number, &chunk.record, nullptr);
+        listener->OnChunk(*job, number, &chunk, nullptr);
       }
     }
   }
@@ -156,7 +189,7 @@
   for (const auto& [id, job] : open_jobs_) {
     for (const auto& [number, chunk] : job->chunks) {
       for (ChunkListener* listener : listeners_) {
-        listener->OnChunk(*job, number, nullptr, &chunk.record);
+        listener->OnChunk(*job, number, nullptr, &chunk);
       }
     }
   }
@@ -177,6 +210,11 @@
   return it == loads_.end() ? nullptr : &it->second;
 }
 
+const Mirror::Segment* Mirror::FindSegment(uint32_t part, uint32_t slot) const {
+  auto it = segments_.find({part, slot});
+  return it == segments_.end() ? nullptr : &it->second;
+}
+
 const MachineType* Mirror::FindType(const std::string& name) const {
   if (!types_) return nullptr;
   for (const MachineType& type : types_->value.types) {
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -8,7 +8,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/jobs.h"
@@ -22,8 +24,8 @@
 class ChunkListener {
  public:
   virtual ~ChunkListener() = default;
-  virtual void OnChunk(const Job& job, uint32_t chunk,
-                       const ChunkRecord* before, const ChunkRecord* after) = 0;
+  virtual void OnChunk(const Job& job, uint32_t chunk, const Job::Chunk* before,
+                       const Job::Chunk* after) = 0;
 };
 
 class Mirror {
@@ -35,6 +37,11 @@
   };
   template <typename T>
   using Table = std::map<std::string, Versioned<T>>;
+  using ChunkKey = std::pair<std::string, uint32_t>;  // job, chunk
+  struct Segment {
+    uint64_t stamp = 0;
+    std::vector<ChunkKey> chunks;
+  };
 
   // Applies changes in order of revision, or the rows of a list. A change older
   // than what is here is passed over: replies can overtake each other.
@@ -48,15 +55,19 @@
   uint64_t revision() const { return revision_; }
 
   const Job* FindJob(const std::string& id) const;
-  // Jobs that are not final, or still have chunks to clear away.
+  // Jobs that are not final, or still have tasks bound to machines.
   const std::map<std::string, Job*>& open_jobs() const { return open_jobs_; }
 
   const Table<NodeRecord>& nodes() const { return nodes_; }
   const Table<RentalRecord>& rentals() const { return rentals_; }
   const Table<TeamRecord>& teams() const { return teams_; }
   const Versioned<PartRecord>* FindPart(uint32_t part) const;
+  const Segment* FindSegment(uint32_t part, uint32_t slot) const;
   const std::optional<Versioned<TypesRecord>>& types() const { return types_; }
   const std::optional<Versioned<DrainRecord>>& drain() const { return drain_; }
+  bool Draining(const std::string& machine) const {
+    return draining_.contains(machine);
+  }
   const Versioned<LoadRecord>* FindLoad(uint32_t part) const;
   const std::optional<Versioned<SizingRecord>>& sizing() const {
     return sizing_;
@@ -71,10 +82,10 @@
 
  private:
   void ApplyJob(const std::string& id, const Change& change);
-  void ApplyChunk(const std::string& id_and_chunk, const Change& change);
-  void SetChunk(Job& job, uint32_t chunk, std::optional<ChunkRecord> record,
-                uint64_t stamp);
+  void ApplySegment(std::string_view part_and_slot, const Change& change);
+  void SetChunk(Job& job, uint32_t chunk, Job::Chunk version);
   void Refresh(Job& job);
+  void Settle();
   template <typename T>
   static void ApplyTo(Table<T>& table, const std::string& name,
                       const Change& change);
@@ -87,12 +98,16 @@
   std::map<std::string, uint64_t> tombstones_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, Job*> open_jobs_;
+  // Jobs that are over with nothing bound, of which older news may still come.
+  std::set<Job*> closing_;
+  std::map<std::pair<uint32_t, uint32_t>, Segment> segments_;  // part, slot
   Table<NodeRecord> nodes_;
   Table<PartRecord> parts_;
   Table<RentalRecord> rentals_;
   Table<TeamRecord> teams_;
   std::optional<Versioned<TypesRecord>> types_;
   std::optional<Versioned<DrainRecord>> drain_;
+  std::unordered_set<std::string> draining_;
   Table<LoadRecord> loads_;
   std::optional<Versioned<SizingRecord>> sizing_;
   std::vector<ChunkListener*> listeners_;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -7,10 +7,12 @@
 #include "core/hash.h"
 #include "core/limits.h"
 #include "core/preemption.h"
+#include "core/segments.h"
 
 namespace pitchfall {
 namespace {
 
+constexpr Duration kWalkGap = Millis(40);
 constexpr Duration kPlanGap = Millis(80);
 constexpr Duration kIdlePlanGap = Millis(250);
 constexpr Duration kCommandTimeout = Millis(2000);
@@ -22,6 +24,11 @@
 constexpr Duration kCancelMargin = Millis(2000);
 constexpr Duration kAllotmentRest = Millis(5000);
 constexpr Duration kAllotmentShortRest = Millis(250);
+// A report waits so long for tokens before it is answered without what they
+// would have stored.
+constexpr Duration kStoreWait = Millis(600);
+// Of the largest value; the rest is for what counting in advance may miss.
+constexpr double kValueUse = 0.9;
 
 Duration WithDrift(Duration d) { return d + d / 1000; }
 
@@ -36,7 +43,7 @@
       next_reach_(context.now() + kFirstReach) {
   for (const auto& [id, job] : context_.mirror.open_jobs()) {
     for (const auto& [chunk, entry] : job->chunks) {
-      OnChunk(*job, chunk, nullptr, &entry.record);
+      OnChunk(*job, chunk, nullptr, &entry);
     }
   }
   adopting_ = false;
@@ -58,43 +65,36 @@
   return machine;
 }
 
-void Part::OnChunk(const Job& job, uint32_t /*chunk*/,
-                   const ChunkRecord* before, const ChunkRecord* after) {
+void Part::OnChunk(const Job& job, uint32_t /*chunk*/, const Job::Chunk* before,
+                   const Job::Chunk* after) {
   dirty_ = true;
   const JobSpec& spec = job.spec();
-  auto mine = [&](const ChunkRecord* record) {
-    return record != nullptr && record->part == number_;
+  static const std::vector<Assignment> kNone;
+  auto mine = [&](const Job::Chunk* chunk) -> const std::vector<Assignment>& {
+    return chunk != nullptr && chunk->part == number_ ? chunk->record.assigned
+                                                      : kNone;
   };
-  if (mine(before)) {
-    for (const Assignment& assignment : before->assigned) {
-      if (mine(after) &&
-          std::find(after->assigned.begin(), after->assigned.end(),
-                    assignment) != after->assigned.end()) {
-        continue;
-      }
-      Machine& machine = GetMachine(assignment.machine);
-      machine.held.erase({spec.id, assignment.task});
-      machine.used -= spec.need;
-      team_use_[spec.team] -= spec.need;
-    }
+  auto among = [](const std::vector<Assignment>& all, const Assignment& one) {
+    return std::find(all.begin(), all.end(), one) != all.end();
+  };
+  for (const Assignment& assignment : mine(before)) {
+    if (among(mine(after), assignment)) continue;
+    Machine& machine = GetMachine(assignment.machine);
+    machine.held.erase({spec.id, assignment.task});
+    machine.used -= spec.need;
+    team_use_[spec.team] -= spec.need;
   }
-  if (mine(after)) {
-    for (const Assignment& assignment : after->assigned) {
-      if (mine(before) &&
-          std::find(before->assigned.begin(), before->assigned.end(),
-                    assignment) != before->assigned.end()) {
-        continue;
-      }
-      Machine& machine = GetMachine(assignment.machine);
-      HeldTask held;
-      held.job = &job;
-      held.attempt = assignment.attempt;
-      held.inherited = adopting_;
-      machine.held[{spec.id, assignment.task}] = held;
-      machine.used += spec.need;
-      machine.idle_since.reset();
-      team_use_[spec.team] += spec.need;
-    }
+  for (const Assignment& assignment : mine(after)) {
+    if (among(mine(before), assignment)) continue;
+    Machine& machine = GetMachine(assignment.machine);
+    HeldTask held;
+    held.job = &job;
+    held.attempt = assignment.attempt;
+    held.inherited = adopting_;
+    machine.held[{spec.id, assignment.task}] = held;
+    machine.used += spec.need;
+    machine.idle_since.reset();
+    team_use_[spec.team] += spec.need;
   }
 }
 
@@ -283,17 +283,19 @@
   }
 }
 
-void Part::Step() {
+void Part::WalkMachines() {
   SteadyTime now = context_.now();
-  for (auto& [name, machine] : machines_) {
-    if (machine.waiting != 0 &&
-        now - machine.waiting_since > context_.tuning.hold_report) {
-      AnswerReport(machine);
-    }
-  }
+  if (now < next_walk_) return;
+  next_walk_ = now + kWalkGap;
+  AnswerReports(now - context_.tuning.hold_report);
   CheckMachines();
   DeleteMachines();
   SendStops();
+}
+
+void Part::Step() {
+  SteadyTime now = context_.now();
+  WalkMachines();
   ReachWorkers();
   if (storing_ || now < next_plan_) return;
   if (!dirty_ && now - next_plan_ < kIdlePlanGap) return;
@@ -312,13 +314,9 @@
 void Part::CheckMachines() {
   SteadyTime now = context_.now();
   Duration lease = WithDrift(context_.deployment.worker_lease) + kLeaseMargin;
-  const auto& drain = context_.mirror.drain();
   for (auto it = machines_.begin(); it != machines_.end();) {
     Machine& machine = it->second;
-    bool chosen =
-        drain &&
-        std::find(drain->value.machines.begin(), drain->value.machines.end(),
-                  machine.name) != drain->value.machines.end();
+    bool chosen = context_.mirror.Draining(machine.name);
     if (chosen != machine.drain) {
       machine.drain = chosen;
       dirty_ = true;
@@ -432,19 +430,17 @@
   return record;
 }
 
-Part::Draft::ChunkChange* Part::Touch(Draft& draft, const Job& job,
+Part::Draft::ChunkChange& Part::Touch(Draft& draft, const Job& job,
                                       uint32_t chunk) {
-  ChunkKey key{job.spec().id, chunk};
-  auto it = draft.chunks.find(key);
-  if (it != draft.chunks.end()) return &it->second;
-  if (draft.size() >= draft_limit_) return nullptr;
-  Draft::ChunkChange change;
-  change.job = &job;
-  if (const Job::Chunk* stored = job.FindChunk(chunk)) {
-    change.record = stored->record;
-    change.stamp = stored->stamp;
+  auto [it, is_new] = draft.chunks.try_emplace({job.spec().id, chunk});
+  if (is_new) {
+    it->second.job = &job;
+    if (const Job::Chunk* stored = job.FindChunk(chunk)) {
+      it->second.record = stored->record;
+    }
+    it->second.record.epoch = job.owner_of(chunk, context_.parts).epoch;
   }
-  return &draft.chunks.emplace(key, std::move(change)).first->second;
+  return it->second;
 }
 
 void Part::DraftEnds(Draft& draft) {
@@ -457,14 +453,13 @@
       Verdict verdict = Judge(machine, key, task, token_, wanted);
       if (verdict == Verdict::kHeld) continue;
       const Job& job = *task.job;
-      Draft::ChunkChange* change = Touch(draft, job, job.chunk_of(key.second));
-      if (change == nullptr) return;
-      std::erase_if(change->record.assigned, [&](const Assignment& a) {
+      ChunkRecord& record = Touch(draft, job, job.chunk_of(key.second)).record;
+      std::erase_if(record.assigned, [&](const Assignment& a) {
         return a.task == key.second && a.attempt == task.attempt &&
                a.machine == name;
       });
       if (verdict == Verdict::kDone) {
-        AddTask(change->record.done, key.second);
+        AddTask(record.done, key.second);
         draft.successes.push_back({name, key.first});
       } else if (verdict == Verdict::kFailed) {
         draft.failures.push_back({name, key.first});
@@ -487,44 +482,21 @@
       done += CountTasks(it->second.record.done);
       if (stored != nullptr) done -= CountTasks(stored->record.done);
     }
-    if (done < job.spec().tasks || draft.size() >= draft_limit_) return;
+    if (done < job.spec().tasks || draft.others() >= draft_limit_) return;
     draft.done_jobs.insert(job.spec().id);
-    for (auto it = draft.chunks.lower_bound({job.spec().id, 0});
-         it != draft.chunks.end() && it->first.first == job.spec().id; ++it) {
-      // With the job over, an empty chunk tells nothing more.
-      if (it->second.record.assigned.empty()) it->second.drop = true;
-    }
   };
   std::set<const Job*> touched;
   for (const auto& [key, change] : draft.chunks) touched.insert(change.job);
   for (const Job* job : touched) consider(*job);
   // Two parts may have finished their last chunks at the same moment, neither
-  // seeing the other's.
-  for (const auto& [id, job] : context_.mirror.open_jobs()) {
-    if (job->done >= job->spec().tasks) consider(*job);
-  }
-}
-
-void Part::DraftCleanUp(Draft& draft) {
+  // seeing the other's: then the job's first part says so.
   for (const auto& [id, job] : context_.mirror.open_jobs()) {
-    if (!job->record.final()) continue;
-    for (const auto& [number, chunk] : job->chunks) {
-      bool mine = chunk.record.part == number_ ||
-                  (chunk.record.part == ChunkRecord::kNobody &&
-                   job->home_of(number, context_.parts) == number_);
-      if (!mine) continue;
-      auto drafted = draft.chunks.find({id, number});
-      const ChunkRecord& record =
-          drafted == draft.chunks.end() ? chunk.record : drafted->second.record;
-      if (!record.assigned.empty()) continue;
-      Draft::ChunkChange* change = Touch(draft, *job, number);
-      if (change == nullptr) return;
-      change->drop = true;
-    }
+    if (job->done >= job->spec().tasks && Owns(*job, 0)) consider(*job);
   }
 }
 
-bool Part::AllotTeam(Draft& draft, const JobSpec& spec) {
+bool Part::AllotTeam(Draft& draft, const Job& job) {
+  const JobSpec& spec = job.spec();
   auto found = context_.deployment.teams.find(spec.team);
   if (found == context_.deployment.teams.end()) return false;
   const Team& team = found->second;
@@ -544,7 +516,7 @@
   }
   if (team.cpus_limit > 0 && cpus > team.cpus_limit) return false;
   if (team.gpus_limit > 0 && gpus > team.gpus_limit) return false;
-  if (!draft.teams.contains(spec.team) && draft.size() >= draft_limit_) {
+  if (!draft.teams.contains(spec.team) && draft.others() >= draft_limit_) {
     return false;
   }
   draft.teams[spec.team] = std::move(record);
@@ -567,7 +539,7 @@
     auto wanted = reserved_.lower_bound({name, Priority::kLow});
     bool needed = wanted != reserved_.end() && wanted->first.first == name;
     if (now - since < (needed ? kAllotmentShortRest : kAllotmentRest)) continue;
-    if (!draft.teams.contains(name) && draft.size() >= draft_limit_) return;
+    if (!draft.teams.contains(name) && draft.others() >= draft_limit_) return;
     mine.cpus = std::min(mine.cpus, use.cpus);
     mine.gpus = std::min(mine.gpus, use.gpus);
     draft.teams[name] = std::move(record);
@@ -579,12 +551,14 @@
   const JobSpec& spec = job.spec();
   const Job::Chunk* stored = job.FindChunk(chunk);
   auto drafted = draft.chunks.find({spec.id, chunk});
-  ChunkRecord record;
-  if (drafted != draft.chunks.end()) {
-    record = drafted->second.record;
-  } else if (stored != nullptr) {
-    record = stored->record;
-  }
+  static const ChunkRecord kUntouched;
+  const ChunkRecord& record = drafted != draft.chunks.end()
+                                  ? drafted->second.record
+                              : stored != nullptr ? stored->record
+                                                  : kUntouched;
+  uint32_t tasks = job.chunk_end(chunk) - job.chunk_begin(chunk);
+  size_t on = record.assigned.size();
+  if (CountTasks(record.done) + on >= tasks) return true;
   TaskSet taken = record.done;
   for (const Assignment& assignment : record.assigned) {
     AddTask(taken, assignment.task);
@@ -595,30 +569,19 @@
       health == job_health_.end() || health->second.at_fault()
           ? kNone
           : health->second.failed_on;
-  uint32_t attempt = record.next_attempt;
-  Draft::ChunkChange* change = nullptr;
   for (uint32_t task = job.chunk_begin(chunk); task < job.chunk_end(chunk);
        ++task) {
     if (HasTask(taken, task)) continue;
+    if (on >= kMostInChunk) return true;
     Machine* machine = ChooseMachine(spec, use, open, avoid);
-    if (machine == nullptr) return false;
-    if (change == nullptr) {
-      change = Touch(draft, job, chunk);
-      if (change == nullptr) return false;
-    }
-    if (!AllotTeam(draft, spec)) {
-      // Nothing was added: leave the chunk as it was.
-      if (change->record.next_attempt == attempt &&
-          drafted == draft.chunks.end()) {
-        draft.chunks.erase({spec.id, chunk});
-      }
-      return false;
-    }
-    change->record.part = number_;
-    change->record.assigned.push_back(
-        {task, attempt, machine->name, machine->zone});
-    change->record.next_attempt = attempt + 1;
-    change->starts = true;
+    if (machine == nullptr || !AllotTeam(draft, job)) return false;
+    ChunkRecord& changed = Touch(draft, job, chunk).record;
+    // One number for all that start together keeps the record small.
+    uint32_t attempt = stored == nullptr ? 1 : stored->record.next_attempt;
+    changed.assigned.push_back({task, attempt, machine->name, machine->zone});
+    changed.next_attempt = attempt + 1;
+    ++on;
+    draft.starting.insert(&job);
     machine->planned += spec.need;
     team_planned_[spec.team] += spec.need;
     use.tasks[machine->zone] += 1;
@@ -657,30 +620,53 @@
                      [&](const auto& zone) { return zone.second >= left; });
 }
 
-bool Part::MayServe(const Job& job, uint32_t chunk, bool overdue) const {
-  if (job.constrained() && job.record.chunk_count() > kConstrainedChunks &&
-      job.record.home != number_) {
-    return false;
-  }
-  const Job::Chunk* stored = job.FindChunk(chunk);
-  if (stored == nullptr || stored->record.part == ChunkRecord::kNobody) {
-    return overdue || job.home_of(chunk, context_.parts) == number_;
+// Waiting work goes to parts that have room for it. A chunk that has been given
+// on before waits longer before it is again: free processors elsewhere may not
+// be what it needs.
+void Part::DraftMoves(Draft& draft, const Job& job) {
+  if (context_.parts == 1 || draft.others() >= draft_limit_) return;
+  bool whole = job.constrained() || job.spec().shape == Shape::kGang;
+  if (whole && job.assigned > 0) return;
+  SteadyTime now = context_.now();
+  SteadyTime since = waiting_since_[job.spec().id];
+  std::vector<ChunkOwner> owners;
+  uint32_t chunks = job.record.chunk_count();
+  for (uint32_t n = 0; n < chunks; ++n) {
+    owners.push_back(job.owner_of(n, context_.parts));
   }
-  return stored->record.part == number_;
-}
-
-void Part::DraftReleases(Draft& draft, const Job& job) {
-  if (context_.parts == 1) return;
-  for (const auto& [number, chunk] : job.chunks) {
-    if (chunk.record.part != number_ || !chunk.record.assigned.empty())
-      continue;
-    uint32_t tasks = job.chunk_end(number) - job.chunk_begin(number);
-    if (CountTasks(chunk.record.done) >= tasks) continue;
-    if (draft.chunks.contains({job.spec().id, number})) continue;
-    Draft::ChunkChange* change = Touch(draft, job, number);
-    if (change == nullptr) return;
-    change->record.part = ChunkRecord::kNobody;
+  std::vector<ChunkOwner> before = owners;
+  for (uint32_t n = 0; n < chunks; ++n) {
+    if (owners[n].part != number_) continue;
+    const Job::Chunk* chunk = job.FindChunk(n);
+    uint32_t done = 0;
+    if (chunk != nullptr) {
+      if (!chunk->record.assigned.empty()) continue;
+      done = CountTasks(chunk->record.done);
+    }
+    uint32_t tasks = job.chunk_end(n) - job.chunk_begin(n);
+    if (done >= tasks || draft.chunks.contains({job.spec().id, n})) continue;
+    Duration patience =
+        context_.tuning.claim_delay * (1 << std::min(owners[n].epoch, 6u));
+    if (now - since < patience) continue;
+    uint32_t best = number_;
+    int64_t most = 0;
+    for (uint32_t part = 0; part < context_.parts; ++part) {
+      int64_t free = context_.room.Free(part, now);
+      if (part == number_ || free <= most) continue;
+      best = part;
+      most = free;
+    }
+    uint32_t waiting = whole ? job.spec().tasks : tasks - done;
+    int64_t need = job.spec().need.cpus * static_cast<int64_t>(waiting);
+    bool gang = job.spec().shape == Shape::kGang;
+    if (most < (gang ? need : job.spec().need.cpus)) break;
+    context_.room.Deal(best, need);
+    for (uint32_t m = whole ? 0 : n; m < (whole ? chunks : n + 1); ++m) {
+      owners[m] = {best, owners[m].epoch + 1};
+    }
+    if (whole) break;
   }
+  if (owners != before) draft.moves[job.spec().id] = std::move(owners);
 }
 
 // What the mirror holds and this draft changes, of a team's use by all parts.
@@ -740,10 +726,9 @@
     }
     auto since = waiting_since_.find(spec.id);
     waiting[spec.id] = since == waiting_since_.end() ? now : since->second;
-    bool overdue = now - waiting[spec.id] >= context_.tuning.claim_delay;
+    waiting_since_.emplace(spec.id, now);
     auto health = job_health_.find(spec.id);
     if (health != job_health_.end() && now < health->second.retry_at) continue;
-    if (draft.size() >= draft_limit_) continue;
     ZoneUse use;
     if (job->constrained()) {
       for (const auto& [number, chunk] : job->chunks) {
@@ -755,16 +740,16 @@
     }
     uint32_t starts_before = draft.starts;
     if (spec.shape == Shape::kGang && !GangFits(*job, open)) {
-      if (overdue) DraftReleases(draft, *job);
+      DraftMoves(draft, *job);
       continue;
     }
     bool placed_all = true;
     for (uint32_t chunk = 0; chunk < job->record.chunk_count(); ++chunk) {
-      if (!MayServe(*job, chunk, overdue)) continue;
+      if (!Owns(*job, chunk)) continue;
       placed_all = StartsInChunk(draft, *job, chunk, use, open);
       if (!placed_all) break;
     }
-    if (!placed_all && overdue) DraftReleases(draft, *job);
+    if (!placed_all) DraftMoves(draft, *job);
     int64_t still =
         static_cast<int64_t>(job->waiting()) - (draft.starts - starts_before);
     if (still > 0) reserved_[{spec.team, spec.priority}] += spec.need * still;
@@ -775,7 +760,7 @@
 void Part::DraftLoad(Draft& draft) {
   auto period = static_cast<uint64_t>(
       context_.out.now().wall.time_since_epoch() / context_.tuning.period);
-  if (period <= reported_period_ || draft.size() >= draft_limit_) return;
+  if (period <= reported_period_ || draft.others() >= draft_limit_) return;
   LoadRecord load;
   load.period = period;
   for (const auto& [id, health] : job_health_) {
@@ -795,40 +780,44 @@
   draft.load = std::move(load);
 }
 
-Transaction Part::MakeTransaction(const Draft& draft) const {
+std::optional<Transaction> Part::MakeTransaction(const Draft& draft) const {
+  const Deployment& d = context_.deployment;
   Transaction txn;
   txn.conditions.push_back({keys::Part(number_), token_});
   txn.conditions.push_back({keys::Fence(number_, token_), fence_});
-  std::map<std::string, uint64_t> jobs;
-  std::set<const Job*> constrained;
-  for (const auto& [key, change] : draft.chunks) {
-    if (change.starts && change.job->constrained()) {
-      constrained.insert(change.job);
+  if (!draft.chunks.empty()) {
+    std::vector<SegmentRecord::Entry> changed;
+    for (const auto& [key, change] : draft.chunks) {
+      changed.push_back({key.first, key.second, change.record});
     }
-    std::string name = keys::Chunk(key.first, key.second);
-    txn.conditions.push_back({name, change.stamp});
-    // A start must not be stored after a cancellation.
-    if (change.starts) jobs[key.first] = change.job->stamp;
-    Write write{name, {}, 0};
-    if (!change.drop) write.value = change.record;
-    txn.writes.push_back(std::move(write));
-  }
-  // Where other parts start tasks of these jobs matters as much as where this
-  // one does.
-  for (const Job* job : constrained) {
-    if (job->record.chunk_count() > kConstrainedChunks) continue;
-    for (uint32_t n = 0; n < job->record.chunk_count(); ++n) {
-      if (draft.chunks.contains({job->spec().id, n})) continue;
-      const Job::Chunk* chunk = job->FindChunk(n);
-      txn.conditions.push_back({keys::Chunk(job->spec().id, n),
-                                chunk == nullptr ? 0 : chunk->stamp});
+    auto bytes = static_cast<size_t>(d.value_kb * 1024 * kValueUse);
+    size_t most = d.txn_ops - std::min<size_t>(d.txn_ops, draft.others());
+    auto segments =
+        PlanSegments(context_.mirror, number_, std::move(changed), bytes, most);
+    if (!segments) return std::nullopt;
+    for (SegmentWrite& segment : *segments) {
+      std::string key = keys::Segment(number_, segment.slot);
+      txn.conditions.push_back({key, segment.stamp});
+      txn.writes.push_back({key, std::move(segment.segment), 0});
     }
   }
+  // A start must not be stored after a cancellation, nor in a chunk that has
+  // been given away.
+  std::map<std::string, uint64_t> jobs;
+  for (const Job* job : draft.starting) jobs[job->spec().id] = job->stamp;
   for (const std::string& id : draft.done_jobs) {
     const Job* job = context_.mirror.FindJob(id);
     jobs[id] = job->stamp;
     JobRecord record = job->record;
     record.state = JobState::kDone;
+    record.owners.clear();
+    txn.writes.push_back({keys::Job(id), std::move(record), 0});
+  }
+  for (const auto& [id, owners] : draft.moves) {
+    const Job* job = context_.mirror.FindJob(id);
+    jobs[id] = job->stamp;
+    JobRecord record = job->record;
+    record.owners = owners;
     txn.writes.push_back({keys::Job(id), std::move(record), 0});
   }
   for (const auto& [id, stamp] : jobs) {
@@ -853,10 +842,16 @@
   dirty_ = false;
   for (auto& [name, machine] : machines_) machine.planned = {};
   team_planned_.clear();
-  Draft draft;
-  draft_limit_ = static_cast<size_t>(std::clamp<double>(
-      std::floor(context_.writes.Available(now) - context_.writes_kept), 0.0,
-      static_cast<double>(context_.deployment.txn_ops)));
+  // One token is for the segment. What goes beyond the tokens at hand is
+  // borrowed, so that a finished job need not wait until nothing else changes.
+  double tokens = context_.writes.Available(now) - context_.writes_kept;
+  if (tokens < 1) {
+    dirty_ = true;
+    AnswerReports(now - kStoreWait);
+    return;
+  }
+  draft_limit_ = std::min<size_t>(static_cast<size_t>(tokens) + 1,
+                                  context_.deployment.txn_ops / 2);
   std::vector<const Job*> jobs =
       OrderJobs(context_.mirror, context_.out.now().wall, context_.deployment);
   team_use_everywhere_.clear();
@@ -865,34 +860,49 @@
         job->spec().need * static_cast<int64_t>(job->assigned);
   }
   Preempt(jobs);
-  if (draft_limit_ > 0) {
-    DraftEnds(draft);
-    DraftFinishedJobs(draft);
-    DraftLoad(draft);
-    DraftStarts(draft, jobs);
-    DraftCleanUp(draft);
-    DraftGiveBack(draft);
+  Draft draft;
+  DraftEnds(draft);
+  DraftFinishedJobs(draft);
+  DraftLoad(draft);
+  if (!full_) DraftStarts(draft, jobs);
+  DraftGiveBack(draft);
+  if (draft.empty()) {
+    full_ = false;
+    AnswerReports(now);
+    return;
   }
-  if (draft.size() == 0) {
+  std::optional<Transaction> txn = MakeTransaction(draft);
+  if (!txn) {
+    full_ = true;
+    dirty_ = true;
+    context_.out.Log(LogLevel::kWarning,
+                     "event=segments_full part={} chunks={} starts={}", number_,
+                     draft.chunks.size(), draft.starts);
     AnswerReports(now);
     return;
   }
-  context_.writes.Take(now, static_cast<double>(draft.size()));
+  full_ = false;
+  Store(std::move(draft), std::move(*txn));
+}
+
+void Part::Store(Draft draft, Transaction txn) {
+  SteadyTime now = context_.now();
+  context_.writes.Take(now, static_cast<double>(txn.writes.size()), -1e9);
   context_.requests.Take(now, 1, -1e9);
-  Transaction txn = MakeTransaction(draft);
   storing_ = true;
-  context_.out.Log(LogLevel::kDebug,
-                   "event=store part={} chunks={} starts={} teams={} done={} "
-                   "tokens={:.1f}",
-                   number_, draft.chunks.size(), draft.starts,
-                   draft.teams.size(), draft.done_jobs.size(),
-                   context_.writes.Available(now));
-  context_.out.CallState(
-      txn, context_.tuning.state_timeout,
-      [this, draft = std::move(draft), txn, now,
-       alive = std::weak_ptr<int>(alive_)](const StateReply& reply) {
-        if (!alive.expired()) OnStored(draft, txn, now, reply);
-      });
+  context_.out.Log(
+      LogLevel::kDebug,
+      "event=store part={} chunks={} starts={} teams={} done={} moves={} "
+      "puts={} tokens={:.1f}",
+      number_, draft.chunks.size(), draft.starts, draft.teams.size(),
+      draft.done_jobs.size(), draft.moves.size(), txn.writes.size(),
+      context_.writes.Available(now));
+  auto handler = [this, draft = std::move(draft), txn, now,
+                  alive = std::weak_ptr<int>(alive_)](const StateReply& reply) {
+    if (!alive.expired()) OnStored(draft, txn, now, reply);
+  };
+  context_.out.CallState(std::move(txn), context_.tuning.state_timeout,
+                         std::move(handler));
 }
 
 void Part::OnStored(const Draft& draft, const Transaction& txn,
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -1,11 +1,13 @@
 // One part of the cluster as its owner runs it: the machines that hash into it,
-// the chunks of jobs that it has claimed.
+// the chunks of jobs that it owns.
 //
 // Everything is decided by comparing what is stored with the machines' newest
 // reports. One transaction at a time carries the outcome: ends, new
-// assignments, finished jobs; it depends on the part's token and on the stamps
-// of all that it was computed from. Reports are answered after it, so that
-// starts and forgets follow what is stored.
+// assignments, finished jobs; it depends on the part's token, on the stamps of
+// the segments that it overwrites and on those of the jobs whose tasks start.
+// Nobody else writes what the part owns, so nothing else can have changed.
+// Reports are answered after it, so that starts and forgets follow what is
+// stored.
 #ifndef PITCHFALL_CORE_PART_H_
 #define PITCHFALL_CORE_PART_H_
 
@@ -34,8 +36,8 @@
   void CheckIn(RequestId request, const WorkerReport& report);
   void Step();
 
-  void OnChunk(const Job& job, uint32_t chunk, const ChunkRecord* before,
-               const ChunkRecord* after) override;
+  void OnChunk(const Job& job, uint32_t chunk, const Job::Chunk* before,
+               const Job::Chunk* after) override;
 
   uint32_t number() const { return number_; }
   uint64_t token() const { return token_; }
@@ -46,18 +48,18 @@
   SteadyTime last_heard() const { return last_heard_; }
 
  private:
-  using ChunkKey = std::pair<std::string, uint32_t>;
+  using ChunkKey = Mirror::ChunkKey;
 
   // Changes to be stored together.
   struct Draft {
     struct ChunkChange {
       const Job* job = nullptr;
-      uint64_t stamp = 0;
       ChunkRecord record;
-      bool drop = false;
-      bool starts = false;
     };
     std::map<ChunkKey, ChunkChange> chunks;
+    std::set<const Job*> starting;
+    // New owners of these jobs' chunks.
+    std::map<std::string, std::vector<ChunkOwner>> moves;
     std::map<std::string, TeamRecord> teams;
     std::set<std::string> done_jobs;
     std::optional<LoadRecord> load;
@@ -67,11 +69,14 @@
     std::vector<std::pair<std::string, std::string>> successes;
     std::vector<std::pair<std::string, std::string>> refusals;
     uint32_t starts = 0;
-    size_t size() const {
-      return chunks.size() + teams.size() + done_jobs.size() + (load ? 1 : 0);
+    // Puts beside those of the segments.
+    size_t others() const {
+      return teams.size() + done_jobs.size() + moves.size() + (load ? 1 : 0);
     }
+    bool empty() const { return chunks.empty() && others() == 0; }
   };
 
+  // How many puts the next transaction may have beside one segment.
   size_t draft_limit_ = 0;
 
   struct JobHealth {
@@ -100,29 +105,32 @@
   void CheckMachines();
   void DeleteMachines();
 
+  void WalkMachines();
   void Plan();
   void RaiseFence();
   // Adds this period's report to what is stored next.
   void DraftLoad(Draft& draft);
-  Draft::ChunkChange* Touch(Draft& draft, const Job& job, uint32_t chunk);
+  Draft::ChunkChange& Touch(Draft& draft, const Job& job, uint32_t chunk);
   void DraftEnds(Draft& draft);
   void DraftFinishedJobs(Draft& draft);
   void DraftStarts(Draft& draft, const std::vector<const Job*>& jobs);
   void Preempt(const std::vector<const Job*>& jobs);
   Resources TeamUseEverywhere(const std::string& team) const;
   bool LeavesReserved(const JobSpec& spec) const;
-  void DraftCleanUp(Draft& draft);
   void DraftGiveBack(Draft& draft);
   bool GangFits(const Job& job, const std::vector<Machine*>& open) const;
-  // Whether this part may start waiting tasks of the chunk.
-  bool MayServe(const Job& job, uint32_t chunk, bool overdue) const;
-  // Gives up chunks that wait here for room that another part may have.
-  void DraftReleases(Draft& draft, const Job& job);
+  bool Owns(const Job& job, uint32_t chunk) const {
+    return job.owner_of(chunk, context_.parts).part == number_;
+  }
+  // Gives chunks that wait here for room to parts that have some.
+  void DraftMoves(Draft& draft, const Job& job);
   bool StartsInChunk(Draft& draft, const Job& job, uint32_t chunk, ZoneUse& use,
                      const std::vector<Machine*>& open);
-  bool AllotTeam(Draft& draft, const JobSpec& spec);
+  bool AllotTeam(Draft& draft, const Job& job);
   TeamRecord TeamOf(const Draft& draft, const std::string& name) const;
-  Transaction MakeTransaction(const Draft& draft) const;
+  // None if the part's segments have no room for so much at once.
+  std::optional<Transaction> MakeTransaction(const Draft& draft) const;
+  void Store(Draft draft, Transaction txn);
   void OnStored(const Draft& draft, const Transaction& txn, SteadyTime started,
                 const StateReply& reply);
 
@@ -159,6 +167,8 @@
   bool storing_ = false;
   bool dirty_ = true;
   SteadyTime next_plan_{};
+  SteadyTime next_walk_{};
+  bool full_ = false;  // the segments: nothing starts until something ends
   bool deleting_ = false;
   SteadyTime next_delete_{};
   bool reaching_ = false;
--- a/src/core/records.h
+++ b/src/core/records.h
@@ -66,6 +66,14 @@
 
 enum class JobState : uint8_t { kAccepted = 0, kDone, kCancelled };
 
+// The part that runs a chunk. Only it starts the chunk's tasks, and only it
+// gives the chunk away, while nothing of it is bound to a machine.
+struct ChunkOwner {
+  uint32_t part = 0;
+  uint32_t epoch = 0;
+  friend bool operator==(const ChunkOwner&, const ChunkOwner&) = default;
+};
+
 struct JobRecord {
   JobSpec spec;
   JobState state = JobState::kAccepted;
@@ -73,6 +81,8 @@
   uint32_t chunk_size = 8;   // tasks in one ChunkRecord
   uint32_t home = 0;         // part that takes the first chunk
   uint32_t spread_over = 1;  // parts that take chunks in turn, from `home` on
+  // By chunk, once one has been given to another part; until then empty.
+  std::vector<ChunkOwner> owners;
 
   bool final() const { return state != JobState::kAccepted; }
   uint32_t chunk_count() const {
@@ -91,15 +101,24 @@
 };
 
 // The tasks [n * chunk_size, (n + 1) * chunk_size) of a job. A chunk has no
-// record until a part claims it, which is when its first task is assigned.
+// record until the first of its tasks is assigned.
 struct ChunkRecord {
-  // A part that has no room gives a chunk without running tasks up again.
-  static constexpr uint32_t kNobody = UINT32_MAX;
-
-  uint32_t part = kNobody;
+  // How often the chunk had been given away when this was written.
+  uint32_t epoch = 0;
   TaskSet done;
   std::vector<Assignment> assigned;
   uint32_t next_attempt = 1;
+  friend bool operator==(const ChunkRecord&, const ChunkRecord&) = default;
+};
+
+// Chunk records that were stored together; see core/segments.h.
+struct SegmentRecord {
+  struct Entry {
+    std::string job;
+    uint32_t chunk = 0;
+    ChunkRecord record;
+  };
+  std::vector<Entry> entries;
 };
 
 // A live controller process; its key hangs on a lease.
@@ -189,7 +208,7 @@
   std::vector<MachineType> types;
 };
 
-using Record = std::variant<JobRecord, ChunkRecord, NodeRecord, PartRecord,
+using Record = std::variant<JobRecord, SegmentRecord, NodeRecord, PartRecord,
                             RentalRecord, TypesRecord, TeamRecord, DrainRecord,
                             LoadRecord, SizingRecord>;
 
@@ -198,7 +217,7 @@
 namespace keys {
 inline constexpr char kPrefix[] = "pf/";
 inline constexpr char kJobs[] = "pf/jobs/";
-inline constexpr char kRuns[] = "pf/runs/";
+inline constexpr char kSegments[] = "pf/segments/";
 inline constexpr char kNodes[] = "pf/nodes/";
 inline constexpr char kParts[] = "pf/parts/";
 inline constexpr char kRentals[] = "pf/rentals/";
@@ -209,8 +228,8 @@
 inline constexpr char kSizing[] = "pf/sizing";
 
 inline std::string Job(const std::string& id) { return kJobs + id; }
-inline std::string Chunk(const std::string& id, uint32_t chunk) {
-  return kRuns + id + "/" + std::to_string(chunk);
+inline std::string Segment(uint32_t part, uint32_t slot) {
+  return kSegments + std::to_string(part) + "/" + std::to_string(slot);
 }
 inline std::string Node(const std::string& label, const std::string& life) {
   return kNodes + label + "." + life;
--- /dev/null
+++ b/src/core/segments.h
@@ -0,0 +1,72 @@
+// How a part's chunk records lie in the state service.
+//
+// The service limits writes by their number, not by their size, so that a
+// record of its own for every chunk lets a few tasks a second through. Each
+// part therefore has a ring of segments, each one value, written in turn as in
+// a log-structured file system (Rosenblum and Ousterhout, 1991): a write holds
+// all chunks that have changed and, copied forward, those whose newest version
+// lies in the segment that it overwrites. What is newest follows from the
+// chunk's epoch and the segment's stamp alone.
+//
+// A version that says that nothing is bound any more need not be copied
+// forward once its job is over: everything older in the ring is overwritten
+// before it is.
+#ifndef PITCHFALL_CORE_SEGMENTS_H_
+#define PITCHFALL_CORE_SEGMENTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/mirror.h"
+#include "core/records.h"
+
+namespace pitchfall {
+
+// Many, so that little of what is in use lies in the one overwritten next.
+inline constexpr uint32_t kRingSlots = 32;
+
+// Fills one segment up to a size, counted as the service counts it.
+class SegmentFiller {
+ public:
+  explicit SegmentFiller(size_t limit) : limit_(limit) {}
+
+  // False, and nothing added, if it does not fit.
+  bool Add(const SegmentRecord::Entry& entry);
+
+  size_t size() const { return size_; }
+  const SegmentRecord& segment() const { return segment_; }
+
+ private:
+  // What the entry adds; remembers its machines in `machines`.
+  size_t CostOf(const SegmentRecord::Entry& entry,
+                std::set<std::pair<std::string, std::string>>& machines) const;
+
+  size_t limit_;
+  size_t size_ = 32;  // field names and brackets
+  std::set<std::pair<std::string, std::string>> machines_;
+  SegmentRecord segment_;
+};
+
+// The segments to write so that `changed` is stored and nothing is lost: which
+// slots of the part's ring, and what goes into each. None if that takes more
+// than `most` of them.
+struct SegmentWrite {
+  uint32_t slot = 0;
+  uint64_t stamp = 0;  // of what is overwritten
+  SegmentRecord segment;
+};
+std::optional<std::vector<SegmentWrite>> PlanSegments(
+    const Mirror& mirror, uint32_t part,
+    std::vector<SegmentRecord::Entry> changed, size_t value_bytes, size_t most);
+
+// How many bytes the part's chunks in use take, about.
+size_t LiveBytes(const Mirror& mirror, uint32_t part);
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_SEGMENTS_H_
--- a/src/core/users.cc
+++ b/src/core/users.cc
@@ -173,30 +173,26 @@
   JobRecord record;
   record.spec = spec;
   record.submitted = context_.out.now().wall;
-  bool constrained = spec.one_zone || spec.spread;
-  uint32_t chunks = constrained ? kConstrainedChunks : 64;
-  record.chunk_size = std::clamp((spec.tasks + chunks - 1) / chunks,
-                                 context_.tuning.chunk_tasks, kLargestChunk);
+  record.chunk_size = std::max((spec.tasks + kMostChunks - 1) / kMostChunks,
+                               context_.tuning.chunk_tasks);
   // A gang starts as one: one part has to find room for all of it.
   if (spec.shape == Shape::kGang) record.chunk_size = spec.tasks;
   // The roomiest part takes the job; if it has not room for all of it, the
-  // parts take its chunks in turn.
-  std::vector<int64_t> room = free_room_();
-  room.resize(context_.parts, 0);
-  if (context_.now() - dealt_since_ > Millis(2000)) {
-    dealt_.assign(context_.parts, 0);
-    dealt_since_ = context_.now();
-  }
-  dealt_.resize(context_.parts, 0);
+  // parts take its chunks in turn, unless these depend on each other.
+  SteadyTime now = context_.now();
   uint32_t home =
       static_cast<uint32_t>(StableHash(spec.id, 0) % context_.parts);
   for (uint32_t part = 0; part < context_.parts; ++part) {
-    if (room[part] - dealt_[part] > room[home] - dealt_[home]) home = part;
+    if (context_.room.Free(part, now) > context_.room.Free(home, now)) {
+      home = part;
+    }
   }
   int64_t need = spec.need.cpus * static_cast<int64_t>(spec.tasks);
+  bool together = spec.one_zone || spec.spread;
+  bool fits = need <= context_.room.Free(home, now);
   record.home = home;
-  record.spread_over = need > room[home] - dealt_[home] ? context_.parts : 1;
-  if (record.spread_over == 1) dealt_[home] += need;
+  record.spread_over = fits || together ? 1 : context_.parts;
+  if (record.spread_over == 1) context_.room.Deal(home, need);
   return record;
 }
 
--- a/src/core/users.h
+++ b/src/core/users.h
@@ -4,7 +4,6 @@
 #define PITCHFALL_CORE_USERS_H_
 
 #include <deque>
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -15,11 +14,7 @@
 
 class Users {
  public:
-  // Free processors of each part as far as this controller knows.
-  using FreeRoom = std::function<std::vector<int64_t>()>;
-
-  Users(Context& context, FreeRoom free_room)
-      : context_(context), free_room_(std::move(free_room)) {}
+  explicit Users(Context& context) : context_(context) {}
 
   void Submit(RequestId request, const JobSpec& spec);
   void Poll(RequestId request, const std::string& job);
@@ -55,14 +50,11 @@
   };
 
   Context& context_;
-  FreeRoom free_room_;
   std::deque<Change> queue_;  // cancellations first
   bool storing_ = false;
   SteadyTime next_store_{};
   std::vector<WaitingPoll> polls_;  // for the next reading
   bool serving_polls_ = false;
-  std::vector<int64_t> dealt_;  // room given away since the last report
-  SteadyTime dealt_since_{};
 };
 
 }  // namespace pitchfall
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -124,7 +124,7 @@
   spec.estimate = seconds("expected_s");
   spec.checkpoint = seconds("waypoint_s");
   spec.save = seconds("stow_s");
-  if (spec.shape == Shape::kGang && spec.tasks > kLargestChunk) {
+  if (spec.shape == Shape::kGang && spec.tasks > kMostInChunk) {
     Fields::Fail("legs", "is too large for a gang");
   }
   if (in.Find("due_s") != nullptr) spec.deadline = ReadSeconds(in, "due_s");
--- a/src/wire/records.cc
+++ b/src/wire/records.cc
@@ -2,9 +2,11 @@
 // service's limits are counted in bytes.
 #include "wire/records.h"
 
-#include <charconv>
+#include <map>
 #include <utility>
 
+#include "core/limits.h"
+
 namespace pitchfall::wire {
 namespace {
 
@@ -50,7 +52,7 @@
 
 void Pack(Packer& out, const JobRecord& job) {
   const JobSpec& spec = job.spec;
-  out.Map(24);
+  out.Map(25);
   out.Pair("id", spec.id).Pair("class", spec.job_class).Pair("team", spec.team);
   out.Pair("prio", static_cast<int>(spec.priority)).Pair("tasks", spec.tasks);
   PackResources(out.Key("need"), spec.need);
@@ -76,6 +78,19 @@
   out.Pair("chunk", job.chunk_size).Pair("home", job.home);
   out.Pair("over", job.spread_over).Pair("v", 1);
   out.Pair("shape", static_cast<int>(spec.shape));
+  // Runs of chunks of one owner: how many, part, epoch.
+  size_t runs = 0;
+  const auto& owners = job.owners;
+  for (size_t i = 0; i < owners.size(); ++i) {
+    if (i == 0 || owners[i] != owners[i - 1]) ++runs;
+  }
+  out.Key("owners").List(runs * 3);
+  for (size_t i = 0; i < owners.size();) {
+    size_t end = i + 1;
+    while (end < owners.size() && owners[end] == owners[i]) ++end;
+    out.Value(end - i).Value(owners[i].part).Value(owners[i].epoch);
+    i = end;
+  }
 }
 
 JobRecord ReadJob(const Fields& in) {
@@ -105,29 +120,67 @@
   if (job.chunk_size == 0) Fields::Fail("chunk", "is 0");
   job.home = static_cast<uint32_t>(in.Count("home", UINT32_MAX));
   job.spread_over = static_cast<uint32_t>(in.Count("over", UINT32_MAX));
+  const auto& runs = in.List("owners");
+  if (runs.size % 3 != 0) Fields::Fail("owners", "is not in threes");
+  for (uint32_t i = 0; i < runs.size; i += 3) {
+    uint64_t count = Fields::AsCount(runs.ptr[i], "owners", kMostChunks);
+    ChunkOwner owner;
+    owner.part = static_cast<uint32_t>(
+        Fields::AsCount(runs.ptr[i + 1], "owners", UINT32_MAX));
+    owner.epoch = static_cast<uint32_t>(
+        Fields::AsCount(runs.ptr[i + 2], "owners", UINT32_MAX));
+    if (job.owners.size() + count > kMostChunks) {
+      Fields::Fail("owners", "names too many chunks");
+    }
+    job.owners.insert(job.owners.end(), count, owner);
+  }
   return job;
 }
 
-void Pack(Packer& out, const ChunkRecord& chunk) {
-  out.Map(4).Pair("part", chunk.part).Pair("next", chunk.next_attempt);
-  out.Key("done").List(chunk.done.iterative_size() * 2);
-  for (const auto& range : chunk.done) {
+void PackRanges(Packer& out, const TaskSet& tasks) {
+  for (const auto& range : tasks) {
     out.Value(boost::icl::first(range)).Value(boost::icl::last(range));
   }
-  // Tries of one machine and number together, as ranges of tasks.
-  std::map<std::tuple<std::string, std::string, uint32_t>, TaskSet> groups;
-  for (const Assignment& a : chunk.assigned) {
-    AddTask(groups[{a.machine, a.zone, a.attempt}], a.task);
+}
+
+using Place = std::pair<std::string, std::string>;  // machine, zone
+
+// Tries of one machine and number together, as ranges of tasks. Machines stand
+// by their place in the segment's table.
+void PackEntry(Packer& out, const SegmentRecord::Entry& entry,
+               const std::map<Place, uint32_t>& table) {
+  const ChunkRecord& record = entry.record;
+  std::map<std::pair<uint32_t, uint32_t>, TaskSet> groups;
+  for (const Assignment& a : record.assigned) {
+    AddTask(groups[{table.at({a.machine, a.zone}), a.attempt}], a.task);
   }
-  out.Key("on").List(groups.size());
+  out.List(6).Value(entry.job).Value(entry.chunk).Value(record.epoch);
+  out.Value(record.next_attempt);
+  out.List(record.done.iterative_size() * 2);
+  PackRanges(out, record.done);
+  out.List(groups.size());
   for (const auto& [group, tasks] : groups) {
-    const auto& [machine, zone, attempt] = group;
-    out.List(3 + tasks.iterative_size() * 2);
-    out.Value(machine).Value(zone).Value(attempt);
-    for (const auto& range : tasks) {
-      out.Value(boost::icl::first(range)).Value(boost::icl::last(range));
+    out.List(2 + tasks.iterative_size() * 2);
+    out.Value(group.first).Value(group.second);
+    PackRanges(out, tasks);
+  }
+}
+
+void Pack(Packer& out, const SegmentRecord& segment) {
+  std::map<Place, uint32_t> table;
+  for (const auto& entry : segment.entries) {
+    for (const Assignment& a : entry.record.assigned) {
+      table.emplace(Place{a.machine, a.zone}, 0);
     }
   }
+  uint32_t count = 0;
+  for (auto& [place, index] : table) index = count++;
+  out.Map(2).Key("on").List(table.size() * 2);
+  for (const auto& [place, index] : table) {
+    out.Value(place.first).Value(place.second);
+  }
+  out.Key("chunks").List(segment.entries.size());
+  for (const auto& entry : segment.entries) PackEntry(out, entry, table);
 }
 
 // Ranges stand as pairs of first and last task.
@@ -144,30 +197,65 @@
   return tasks;
 }
 
-ChunkRecord ReadChunk(const Fields& in) {
-  ChunkRecord chunk;
-  chunk.part = static_cast<uint32_t>(in.Count("part", UINT32_MAX));
-  chunk.next_attempt = static_cast<uint32_t>(in.Count("next", UINT32_MAX));
-  chunk.done = ReadRanges(in.List("done"), 0, "done");
-  const auto& groups = in.List("on");
+const msgpack::object_array& AsList(const msgpack::object& value,
+                                    std::string_view key, uint32_t least) {
+  if (value.type != msgpack::type::ARRAY || value.via.array.size < least) {
+    Fields::Fail(key, "is not a long enough list");
+  }
+  return value.via.array;
+}
+
+uint32_t AsNumber(const msgpack::object& value, std::string_view key) {
+  return static_cast<uint32_t>(Fields::AsCount(value, key, UINT32_MAX));
+}
+
+SegmentRecord::Entry ReadEntry(const msgpack::object& value,
+                               const std::vector<Place>& table) {
+  constexpr std::string_view kKey = "chunks";
+  const auto& list = AsList(value, kKey, 6);
+  SegmentRecord::Entry entry;
+  entry.job = Fields::AsText(list.ptr[0], kKey);
+  entry.chunk = AsNumber(list.ptr[1], kKey);
+  ChunkRecord& record = entry.record;
+  record.epoch = AsNumber(list.ptr[2], kKey);
+  record.next_attempt = AsNumber(list.ptr[3], kKey);
+  record.done = ReadRanges(AsList(list.ptr[4], kKey, 0), 0, kKey);
+  const auto& groups = AsList(list.ptr[5], kKey, 0);
   for (uint32_t i = 0; i < groups.size; ++i) {
-    const msgpack::object& group = groups.ptr[i];
-    if (group.type != msgpack::type::ARRAY || group.via.array.size < 3) {
-      Fields::Fail("on", "is not a list of lists");
+    const auto& group = AsList(groups.ptr[i], kKey, 2);
+    uint64_t place = AsNumber(group.ptr[0], kKey);
+    if (place >= table.size()) Fields::Fail(kKey, "names no machine");
+    uint32_t attempt = AsNumber(group.ptr[1], kKey);
+    TaskSet tasks = ReadRanges(group, 2, kKey);
+    if (record.assigned.size() + boost::icl::cardinality(tasks) >
+        kMostInChunk) {
+      Fields::Fail(kKey, "binds too many tasks");
     }
-    const auto& list = group.via.array;
-    std::string machine = Fields::AsText(list.ptr[0], "on");
-    std::string zone = Fields::AsText(list.ptr[1], "on");
-    auto attempt =
-        static_cast<uint32_t>(Fields::AsCount(list.ptr[2], "on", UINT32_MAX));
-    for (const auto& range : ReadRanges(list, 3, "on")) {
+    for (const auto& range : tasks) {
       for (uint32_t t = boost::icl::first(range); t <= boost::icl::last(range);
            ++t) {
-        chunk.assigned.push_back({t, attempt, machine, zone});
+        record.assigned.push_back(
+            {t, attempt, table[place].first, table[place].second});
       }
     }
   }
-  return chunk;
+  return entry;
+}
+
+SegmentRecord ReadSegment(const Fields& in) {
+  const auto& places = in.List("on");
+  if (places.size % 2 != 0) Fields::Fail("on", "has half a machine");
+  std::vector<Place> table;
+  for (uint32_t i = 0; i < places.size; i += 2) {
+    table.push_back({Fields::AsText(places.ptr[i], "on"),
+                     Fields::AsText(places.ptr[i + 1], "on")});
+  }
+  SegmentRecord segment;
+  const auto& chunks = in.List("chunks");
+  for (uint32_t i = 0; i < chunks.size; ++i) {
+    segment.entries.push_back(ReadEntry(chunks.ptr[i], table));
+  }
+  return segment;
 }
 
 void Pack(Packer& out, const NodeRecord& node) {
@@ -321,7 +409,7 @@
                                  const msgpack::object& value) {
   Fields in(value);
   if (key.starts_with(keys::kJobs)) return ReadJob(in);
-  if (key.starts_with(keys::kRuns)) return ReadChunk(in);
+  if (key.starts_with(keys::kSegments)) return ReadSegment(in);
   if (key.starts_with(keys::kNodes)) return ReadNode(in);
   if (key.starts_with(keys::kParts)) return ReadPart(in);
   if (key.starts_with(keys::kRentals)) return ReadRental(in);
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -7,8 +7,11 @@
 #include <functional>
 #include <limits>
 #include <random>
+#include <sstream>
 #include <string>
 
+#include "core/limits.h"
+#include "core/segments.h"
 #include "wire/pack.h"
 #include "wire/peer.h"
 #include "wire/records.h"
@@ -172,30 +175,52 @@
   return ReadRecord(key, message.root());
 }
 
-TEST(Records, ChunksComeBackAsTheyWere) {
+ChunkRecord RandomChunk(std::mt19937& random) {
+  ChunkRecord chunk;
+  chunk.epoch = random() % 3;
+  chunk.next_attempt = 1 + random() % 9;
+  for (uint32_t task = 0; task < kMostInChunk; ++task) {
+    if (random() % 3 == 0) AddTask(chunk.done, task);
+    if (random() % 3 == 0) {
+      chunk.assigned.push_back({task, static_cast<uint32_t>(random() % 3),
+                                "m-" + std::to_string(random() % 5), "a"});
+    }
+  }
+  return chunk;
+}
+
+// The size in the JSON form in which the service counts.
+size_t JsonSize(const std::string& packed) {
+  std::ostringstream text;
+  text << msgpack::unpack(packed.data(), packed.size()).get();
+  return text.str().size();
+}
+
+TEST(Records, SegmentsComeBackAsTheyWere) {
   std::mt19937 random(5);
-  for (int round = 0; round < 200; ++round) {
-    ChunkRecord chunk;
-    chunk.part = random() % 4;
-    chunk.next_attempt = 1 + random() % 9;
-    for (uint32_t task = 0; task < 128; ++task) {
-      if (random() % 3 == 0) AddTask(chunk.done, task);
-      if (random() % 3 == 0) {
-        chunk.assigned.push_back({task, static_cast<uint32_t>(random() % 3),
-                                  "m-" + std::to_string(random() % 5), "a"});
-      }
+  for (int round = 0; round < 100; ++round) {
+    SegmentFiller filler(100000);
+    for (uint32_t n = random() % 5; n > 0; --n) {
+      EXPECT_TRUE(
+          filler.Add({"run-" + std::to_string(n), n, RandomChunk(random)}));
     }
-    auto back = Unpacked("pf/runs/run-1/0", Packed(chunk));
+    std::string packed = Packed(filler.segment());
+    EXPECT_LE(JsonSize(packed), filler.size());
+    auto back = Unpacked("pf/segments/1/2", packed);
     ASSERT_TRUE(back);
-    auto& read = std::get<ChunkRecord>(*back);
-    auto order = [](const Assignment& a, const Assignment& b) {
-      return a.task < b.task;
-    };
-    std::sort(read.assigned.begin(), read.assigned.end(), order);
-    EXPECT_EQ(read.part, chunk.part);
-    EXPECT_EQ(read.next_attempt, chunk.next_attempt);
-    EXPECT_EQ(read.done, chunk.done);
-    EXPECT_EQ(read.assigned, chunk.assigned);
+    auto& read = std::get<SegmentRecord>(*back);
+    ASSERT_EQ(read.entries.size(), filler.segment().entries.size());
+    for (size_t i = 0; i < read.entries.size(); ++i) {
+      auto& got = read.entries[i];
+      const auto& put = filler.segment().entries[i];
+      EXPECT_EQ(got.job, put.job);
+      EXPECT_EQ(got.chunk, put.chunk);
+      auto order = [](const Assignment& a, const Assignment& b) {
+        return a.task < b.task;
+      };
+      std::sort(got.record.assigned.begin(), got.record.assigned.end(), order);
+      EXPECT_EQ(got.record, put.record);
+    }
   }
 }
 
@@ -206,25 +231,27 @@
   job.spec.deadline = Seconds(12.5);
   job.submitted = WallTime(Seconds(1e9));
   job.home = 2;
+  job.owners = {{1, 0}, {1, 0}, {0, 2}};
   auto back = Unpacked("pf/jobs/run-000412", Packed(job));
   ASSERT_TRUE(back);
   const auto& read = std::get<JobRecord>(*back);
   EXPECT_EQ(Packed(read), Packed(job));
   EXPECT_EQ(read.spec.types, job.spec.types);
+  EXPECT_EQ(read.owners, job.owners);
   EXPECT_EQ(read.spec.deadline, job.spec.deadline);
 }
 
 // The largest chunk, with each task on a machine of its own, must fit the
 // smallest value the state service takes (8 KiB in the deployments so far).
-TEST(Records, LargestChunkFitsAValue) {
+TEST(Records, LargestChunkFitsASegment) {
   ChunkRecord chunk;
-  for (uint32_t task = 0; task < 128; ++task) {
+  for (uint32_t task = 0; task < kMostInChunk; ++task) {
     chunk.assigned.push_back({99000 + task, 1000000 + task,
                               "m-1234" + std::to_string(100 + task),
                               "a-rather-long-zone"});
   }
-  // In the JSON form in which sizes count: a few bytes more for each item.
-  EXPECT_LT(Packed(chunk).size() + 128 * 6, 8u * 1024);
+  SegmentFiller filler(8 * 1024 * 9 / 10);
+  EXPECT_TRUE(filler.Add({"run-12345678901234567890", 63, chunk}));
 }
 
 // ---- Random bytes ----
@@ -256,10 +283,8 @@
   hello.strays = {1, 2, 3};
   hello.free_cpus = {-1, 5, 6};
   const std::string peer = EncodeHello(hello);
-  ChunkRecord chunk;
-  chunk.assigned.push_back({1, 1, "m-1", "a"});
-  AddTask(chunk.done, 3);
-  const std::string record = Packed(chunk);
+  const std::string record =
+      Packed(SegmentRecord{{{"run-1", 0, RandomChunk(random)}}});
   Packer report_out;
   report_out.Map(6).Pair("tine", "m-1").Pair("rig", "g").Pair("yard", "a");
   report_out.Pair("shift", 1).Pair("tally", 2).Key("legs").List(1);
@@ -286,7 +311,7 @@
       DecodeHello(std::string_view(bytes).substr(0, size));
     }
     try {
-      Unpacked("pf/runs/run-1/0", Mutate(record, random));
+      Unpacked("pf/segments/0/0", Mutate(record, random));
     } catch (const Malformed&) {
     }
     DecodeState(WatchRead{}, 200, Mutate(record, random));
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -13,6 +13,7 @@
 #include "core/mirror.h"
 #include "core/placement.h"
 #include "core/preemption.h"
+#include "core/segments.h"
 
 namespace pitchfall {
 namespace {
@@ -44,10 +45,10 @@
 Change ChunkChange(const std::string& id, uint32_t chunk, uint64_t stamp,
                    std::vector<Assignment> assigned, uint32_t done = 0) {
   ChunkRecord record;
-  record.part = 0;
   record.assigned = std::move(assigned);
   for (uint32_t task = 0; task < done; ++task) AddTask(record.done, task);
-  return {keys::Chunk(id, chunk), record, stamp};
+  return {keys::Segment(0, static_cast<uint32_t>(stamp % kRingSlots)),
+          SegmentRecord{{{id, chunk, std::move(record)}}}, stamp};
 }
 
 // ---- Proofs ----
@@ -171,14 +172,52 @@
 // still has the key's earlier values.
 TEST(Mirror, ADeletedKeyDoesNotComeBack) {
   Mirror mirror;
-  mirror.Apply(JobChange(Spec("run-1", 8, 1), 1));
-  mirror.AdvanceTo(1);
-  mirror.Apply({keys::Chunk("run-1", 0), std::nullopt, 6});
+  Change put{keys::Rental("r-1"), RentalRecord{"g8", "a"}, 4};
+  mirror.Apply({keys::Rental("r-1"), std::nullopt, 6});
+  mirror.Apply(put);
+  EXPECT_TRUE(mirror.rentals().empty());
+  mirror.AdvanceTo(6);
+  put.stamp = 8;
+  mirror.Apply(put);
+  EXPECT_EQ(mirror.rentals().size(), 1u);
+}
+
+// The segments of a list come in the order of their keys: an older version must
+// not bind tasks again that a newer one has freed, nor may what the job's tasks
+// need be forgotten before all have been read (a quota would be miscounted).
+TEST(Mirror, OlderSegmentsOfAJobThatIsOverAreReadAfterNewerOnes) {
+  Mirror mirror;
+  mirror.Apply(JobChange(Spec("run-1", 8, 1), 9, JobState::kCancelled));
+  mirror.Apply(ChunkChange("run-1", 0, 8, {}));
   mirror.Apply(ChunkChange("run-1", 0, 4, {{0, 1, "m-1", "a"}}));
   EXPECT_EQ(mirror.FindJob("run-1")->assigned, 0u);
-  mirror.AdvanceTo(6);
-  mirror.Apply(ChunkChange("run-1", 0, 8, {{0, 1, "m-1", "a"}}));
+  mirror.Apply(ChunkChange("run-1", 1, 5, {{9, 1, "m-1", "a"}}));
+  EXPECT_EQ(mirror.FindJob("run-1")->assigned, 1u);
+  EXPECT_GT(mirror.FindJob("run-1")->spec().need.cpus, 0);
+  EXPECT_EQ(mirror.open_jobs().size(), 1u);
+  mirror.Apply(ChunkChange("run-1", 1, 10, {}));
+  mirror.AdvanceTo(10);
+  EXPECT_TRUE(mirror.open_jobs().empty());
+  EXPECT_TRUE(mirror.FindJob("run-1")->chunks.empty());
+}
+
+// The old owner may copy its last version forward after the new one has started
+// tasks of the chunk.
+TEST(Mirror, AChunkThatWasGivenAwayStaysWithItsNewOwner) {
+  Mirror mirror;
+  mirror.Apply(JobChange(Spec("run-1", 8, 1), 1));
+  auto version = [](uint32_t part, uint32_t epoch, uint64_t stamp, bool on) {
+    ChunkRecord record;
+    record.epoch = epoch;
+    if (on) record.assigned = {{0, 1, "m-1", "a"}};
+    return Change{keys::Segment(part, 0), SegmentRecord{{{"run-1", 0, record}}},
+                  stamp};
+  };
+  mirror.Apply(version(0, 0, 2, false));
+  mirror.Apply(version(1, 1, 3, true));
+  mirror.Apply(version(0, 0, 4, false));
   EXPECT_EQ(mirror.FindJob("run-1")->assigned, 1u);
+  EXPECT_EQ(mirror.FindJob("run-1")->FindChunk(0)->part, 1u);
 }
 
 TEST(Mirror, UnreadableRecordsArePassedOver) {
@@ -208,7 +247,7 @@
     uint32_t chunk = random() % 5;
     std::string id = "run-" + std::to_string(job);
     if (random() % 5 == 0) {
-      mirror.Apply({keys::Chunk(id, chunk), std::nullopt, stamp});
+      mirror.Apply(ChunkChange(id, chunk, stamp, {}));
       plain.erase({job, chunk});
     } else {
       std::vector<Assignment> assigned;
@@ -231,6 +270,75 @@
   }
 }
 
+// ---- Segments ----
+
+// Random changes through a small ring, read back from the segments alone after
+// every write: a plain map of the newest versions says what must be there.
+TEST(Segments, NothingIsLostAsTheRingIsOverwritten) {
+  std::mt19937 random(11);
+  constexpr size_t kBytes = 2000;
+  std::map<std::string, Change> stored;
+  std::map<Mirror::ChunkKey, ChunkRecord> plain;
+  Mirror writer;
+  std::vector<Change> jobs;
+  for (int job = 0; job < 20; ++job) {
+    jobs.push_back(JobChange(Spec("run-" + std::to_string(job), 24, 1),
+                             static_cast<uint64_t>(job) + 1));
+    writer.Apply(jobs.back());
+  }
+  for (uint64_t stamp = 100; stamp < 600; ++stamp) {
+    std::vector<SegmentRecord::Entry> changed;
+    for (uint32_t n = 1 + random() % 4; n > 0; --n) {
+      Mirror::ChunkKey key{"run-" + std::to_string(random() % 20),
+                           random() % 3};
+      ChunkRecord& record = plain[key];
+      record.next_attempt += 1;
+      record.assigned.clear();
+      for (uint32_t t = random() % 8; t > 0; --t) {
+        record.assigned.push_back({key.second * 8 + t, record.next_attempt,
+                                   "m-" + std::to_string(random() % 9), "a"});
+      }
+      std::erase_if(changed, [&](const auto& e) {
+        return e.job == key.first && e.chunk == key.second;
+      });
+      changed.push_back({key.first, key.second, record});
+    }
+    auto writes = PlanSegments(writer, 0, changed, kBytes, 8);
+    ASSERT_TRUE(writes);
+    for (SegmentWrite& write : *writes) {
+      Change change{keys::Segment(0, write.slot), write.segment, stamp};
+      auto old = stored.find(change.key);
+      EXPECT_EQ(write.stamp, old == stored.end() ? 0 : old->second.stamp);
+      stored[change.key] = change;
+      writer.Apply(change);
+    }
+    writer.AdvanceTo(stamp);
+    Mirror reader;
+    for (const Change& job : jobs) reader.Apply(job);
+    for (const auto& [key, change] : stored) reader.Apply(change);
+    for (const auto& [key, record] : plain) {
+      const Job::Chunk* chunk =
+          reader.FindJob(key.first)->FindChunk(key.second);
+      ASSERT_NE(chunk, nullptr) << key.first << "/" << key.second;
+      EXPECT_EQ(chunk->record, record);
+    }
+  }
+  EXPECT_EQ(stored.size(), kRingSlots);
+}
+
+TEST(Segments, WhatDoesNotFitIsRefusedWhole) {
+  Mirror mirror;
+  ChunkRecord record;
+  for (uint32_t t = 0; t < 90; ++t) {
+    record.assigned.push_back({t, 1, "m-" + std::to_string(t), "a"});
+  }
+  std::vector<SegmentRecord::Entry> changed{{"run-1", 0, record},
+                                            {"run-2", 0, record}};
+  EXPECT_EQ(PlanSegments(mirror, 0, changed, 4000, 8)->size(), 2u);
+  EXPECT_FALSE(PlanSegments(mirror, 0, changed, 4000, 1));
+  EXPECT_FALSE(PlanSegments(mirror, 0, changed, 500, 8));
+}
+
 // ---- Order, room, preemption ----
 
 Deployment OneTeam(double guaranteed, double limit) {
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -151,7 +151,8 @@
     }
   }
   for (const auto& [key, entry] : state_.entries()) {
-    if (key.starts_with(keys::kJobs) || key.starts_with(keys::kRuns)) continue;
+    if (key.starts_with(keys::kJobs) || key.starts_with(keys::kSegments))
+      continue;
     msgpack::object_handle value =
         msgpack::unpack(entry.value.data(), entry.value.size());
     std::ostringstream text;
