Submissions take their write at once and the next plan pays

Cause: plans now use up every token as it comes, so that submissions waited for theirs. Conclusion: kept; after 40 ms a submission may run up a debt of two writes.

--- a/src/core/context.h
+++ b/src/core/context.h
@@ -26,9 +26,6 @@
   std::string life;       // names this process among all that ever ran
   uint32_t parts;         // how many there are
   RoomBook room;
-  // Writes that submissions have waited for so long that the rest must leave
-  // them over.
-  double writes_kept = 0;
 
   SteadyTime now() const { return out.now().steady; }
 };
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -844,7 +844,7 @@
   team_planned_.clear();
   // One token is for the segment. What goes beyond the tokens at hand is
   // borrowed, so that a finished job need not wait until nothing else changes.
-  double tokens = context_.writes.Available(now) - context_.writes_kept;
+  double tokens = context_.writes.Available(now);
   if (tokens < 1) {
     dirty_ = true;
     AnswerReports(now - kStoreWait);
--- a/src/core/users.cc
+++ b/src/core/users.cc
@@ -16,7 +16,10 @@
 // Polls wait two seconds for their answer.
 constexpr Duration kMaxPollWait = Millis(1500);
 constexpr size_t kMaxWaitingPolls = 2000;
-constexpr Duration kPatience = Millis(150);
+// Starts and results come first, but they use up whatever there is. After so
+// long a submission takes a token that the next of them will have to wait for.
+constexpr Duration kPatience = Millis(40);
+constexpr double kSubmissionDebt = 2;
 constexpr Duration kStoreGap = Millis(15);
 
 }  // namespace
@@ -204,18 +207,13 @@
     return true;
   });
   Flush();
-  bool waiting =
-      !queue_.empty() && context_.now() - queue_.back().since >= kPatience;
-  context_.writes_kept = waiting ? 1 : 0;
 }
 
 void Users::Flush() {
   SteadyTime now = context_.now();
   if (storing_ || queue_.empty() || now < next_store_) return;
-  // Starts and results come before submissions, cancellations before both: the
-  // last tokens are left to them, until a submission has waited for a while.
   bool patient = now - queue_.back().since < kPatience;
-  double spare = patient ? std::min(2.0, context_.writes.rate() / 4) : 0;
+  double spare = patient ? 0 : -kSubmissionDebt;
   Transaction txn;
   std::vector<Change> batch;
   while (!queue_.empty() && batch.size() < context_.deployment.txn_ops) {
