Chunks move only for want of machines, to parts with whole slots for them

Work behind its team's limit was given away, which is the same everywhere, and free processors scattered over machines were taken for room. Ruled out: contention; a moved chunk has one owner. Change: parts tell free room by size of task and apart for ordinary machines; work behind a limit stays; after two moves the parts are tried in turn.

--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -162,9 +162,8 @@
   Duration age = out_.now().wall - hello.sent;
   if (age > kPeerFresh + 2 * deployment_.time_bound) return;
   peers_[hello.label] = {hello, out_.now().steady};
-  for (uint32_t part = 0; part < hello.free_cpus.size(); ++part) {
-    if (hello.free_cpus[part] < 0) continue;
-    context_.room.Hear(part, hello.free_cpus[part], out_.now().steady);
+  for (const auto& [part, free] : hello.free) {
+    context_.room.Hear(part, free, out_.now().steady);
   }
 }
 
@@ -199,10 +198,9 @@
       hello.strays[stray.part] += 1;
     }
   }
-  hello.free_cpus.assign(context_.parts, -1);
   for (const auto& [number, part] : parts_) {
-    hello.free_cpus[number] = part->FreeCpus();
-    context_.room.Hear(number, hello.free_cpus[number], now);
+    hello.free[number] = part->Free();
+    context_.room.Hear(number, hello.free[number], now);
   }
   out_.Send(std::move(hello));
 }
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -4,6 +4,7 @@
 #define PITCHFALL_CORE_MESSAGES_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "core/records.h"
+#include "core/room.h"
 #include "core/time.h"
 
 namespace pitchfall {
@@ -183,10 +185,10 @@
   WallTime sent;
   Duration state_age{0};  // since this controller last read the state
   // Per part: workers that came here in the last seconds because they could
-  // not reach its owner, and the free room of those parts that I own (-1: not
-  // mine).
+  // not reach its owner.
   std::vector<uint32_t> strays;
-  std::vector<int64_t> free_cpus;
+  // Of the parts that I own.
+  std::map<uint32_t, FreeRoom> free;
   // What this controller has lately used of the shared rates, a second.
   double requests = 0;
   double writes = 0;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -546,8 +546,9 @@
   }
 }
 
-bool Part::StartsInChunk(Draft& draft, const Job& job, uint32_t chunk,
-                         ZoneUse& use, const std::vector<Machine*>& open) {
+Part::Placed Part::StartsInChunk(Draft& draft, const Job& job, uint32_t chunk,
+                                 ZoneUse& use,
+                                 const std::vector<Machine*>& open) {
   const JobSpec& spec = job.spec();
   const Job::Chunk* stored = job.FindChunk(chunk);
   auto drafted = draft.chunks.find({spec.id, chunk});
@@ -558,7 +559,7 @@
                                                   : kUntouched;
   uint32_t tasks = job.chunk_end(chunk) - job.chunk_begin(chunk);
   size_t on = record.assigned.size();
-  if (CountTasks(record.done) + on >= tasks) return true;
+  if (CountTasks(record.done) + on >= tasks) return Placed::kAll;
   TaskSet taken = record.done;
   for (const Assignment& assignment : record.assigned) {
     AddTask(taken, assignment.task);
@@ -572,9 +573,10 @@
   for (uint32_t task = job.chunk_begin(chunk); task < job.chunk_end(chunk);
        ++task) {
     if (HasTask(taken, task)) continue;
-    if (on >= kMostInChunk) return true;
+    if (on >= kMostInChunk) return Placed::kAll;
     Machine* machine = ChooseMachine(spec, use, open, avoid);
-    if (machine == nullptr || !AllotTeam(draft, job)) return false;
+    if (machine == nullptr) return Placed::kNoMachine;
+    if (!AllotTeam(draft, job)) return Placed::kNoQuota;
     ChunkRecord& changed = Touch(draft, job, chunk).record;
     // One number for all that start together keeps the record small.
     uint32_t attempt = stored == nullptr ? 1 : stored->record.next_attempt;
@@ -592,7 +594,7 @@
       draft.waited += context_.now() - since->second;
     }
   }
-  return true;
+  return Placed::kAll;
 }
 
 // Whether all of a gang can start now: none of it may still be running, and the
@@ -648,19 +650,16 @@
     Duration patience =
         context_.tuning.claim_delay * (1 << std::min(owners[n].epoch, 6u));
     if (now - since < patience) continue;
-    uint32_t best = number_;
-    int64_t most = 0;
-    for (uint32_t part = 0; part < context_.parts; ++part) {
-      int64_t free = context_.room.Free(part, now);
-      if (part == number_ || free <= most) continue;
-      best = part;
-      most = free;
-    }
-    uint32_t waiting = whole ? job.spec().tasks : tasks - done;
-    int64_t need = job.spec().need.cpus * static_cast<int64_t>(waiting);
-    bool gang = job.spec().shape == Shape::kGang;
-    if (most < (gang ? need : job.spec().need.cpus)) break;
-    context_.room.Deal(best, need);
+    const JobSpec& spec = job.spec();
+    // What keeps it waiting may be more than the number of processors, such as
+    // the zone: then one part after the other is tried.
+    auto [best, most] =
+        owners[n].epoch < 2
+            ? context_.room.Roomiest(spec, number_, number_, now)
+            : context_.room.NextWithRoom(spec, number_, now);
+    uint32_t waiting = whole ? spec.tasks : tasks - done;
+    if (most < (spec.shape == Shape::kGang ? waiting : 1)) break;
+    context_.room.Deal(best, spec, waiting);
     for (uint32_t m = whole ? 0 : n; m < (whole ? chunks : n + 1); ++m) {
       owners[m] = {best, owners[m].epoch + 1};
     }
@@ -743,13 +742,14 @@
       DraftMoves(draft, *job);
       continue;
     }
-    bool placed_all = true;
+    Placed placed = Placed::kAll;
     for (uint32_t chunk = 0; chunk < job->record.chunk_count(); ++chunk) {
       if (!Owns(*job, chunk)) continue;
-      placed_all = StartsInChunk(draft, *job, chunk, use, open);
-      if (!placed_all) break;
+      placed = StartsInChunk(draft, *job, chunk, use, open);
+      if (placed != Placed::kAll) break;
     }
-    if (!placed_all) DraftMoves(draft, *job);
+    // A team's limit is the same everywhere.
+    if (placed == Placed::kNoMachine) DraftMoves(draft, *job);
     int64_t still =
         static_cast<int64_t>(job->waiting()) - (draft.starts - starts_before);
     if (still > 0) reserved_[{spec.team, spec.priority}] += spec.need * still;
@@ -1042,11 +1042,11 @@
                    found->second.errors, found->second.error_jobs.size());
 }
 
-int64_t Part::FreeCpus() const {
-  int64_t free = 0;
+FreeRoom Part::Free() const {
+  FreeRoom free;
   for (const auto& [name, machine] : machines_) {
     if (machine.TakesTasks(context_.now())) {
-      free += std::max<int64_t>(0, machine.Free().cpus);
+      free.AddMachine(machine.Free().cpus, machine.spot);
     }
   }
   return free;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -42,7 +42,7 @@
   uint32_t number() const { return number_; }
   uint64_t token() const { return token_; }
   const std::map<std::string, Machine>& machines() const { return machines_; }
-  int64_t FreeCpus() const;
+  FreeRoom Free() const;
   // Since when no worker has been heard; owners that their workers cannot
   // reach give the part away.
   SteadyTime last_heard() const { return last_heard_; }
@@ -124,8 +124,9 @@
   }
   // Gives chunks that wait here for room to parts that have some.
   void DraftMoves(Draft& draft, const Job& job);
-  bool StartsInChunk(Draft& draft, const Job& job, uint32_t chunk, ZoneUse& use,
-                     const std::vector<Machine*>& open);
+  enum class Placed : uint8_t { kAll, kNoMachine, kNoQuota };
+  Placed StartsInChunk(Draft& draft, const Job& job, uint32_t chunk,
+                       ZoneUse& use, const std::vector<Machine*>& open);
   bool AllotTeam(Draft& draft, const Job& job);
   TeamRecord TeamOf(const Draft& draft, const std::string& name) const;
   // None if the part's segments have no room for so much at once.
--- a/src/core/room.h
+++ b/src/core/room.h
@@ -1,37 +1,103 @@
 // Free processors of every part, as its owner last told, less what this
-// controller has given to it since.
+// controller has given to it since. They are told by the size of tasks: eight
+// machines with one free processor each have no room for a task of four.
 #ifndef PITCHFALL_CORE_ROOM_H_
 #define PITCHFALL_CORE_ROOM_H_
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <utility>
 #include <vector>
 
+#include "core/records.h"
+#include "core/resources.h"
 #include "core/time.h"
 
 namespace pitchfall {
 
+// Free processors in whole slots of 1, 2, 4 ... processors.
+struct FreeRoom {
+  static constexpr size_t kSizes = 6;
+  using Slots = std::array<int64_t, kSizes>;
+  Slots any{};       // on all machines
+  Slots ordinary{};  // on those that are not spot machines
+
+  // The smallest size in which a task fits; the largest holds all beyond.
+  static size_t SizeFor(int64_t task_cpus) {
+    size_t size = 0;
+    while (size + 1 < kSizes && SlotOf(size) < task_cpus) ++size;
+    return size;
+  }
+  static int64_t SlotOf(size_t size) {
+    return Resources::FromDecimal(static_cast<double>(1 << size));
+  }
+  void AddMachine(int64_t free_cpus, bool spot) {
+    for (size_t size = 0; size < kSizes && free_cpus > 0; ++size) {
+      int64_t cpus = free_cpus / SlotOf(size) * SlotOf(size);
+      any[size] += cpus;
+      if (!spot) ordinary[size] += cpus;
+    }
+  }
+  friend bool operator==(const FreeRoom&, const FreeRoom&) = default;
+};
+
 class RoomBook {
  public:
   explicit RoomBook(uint32_t parts) : parts_(parts) {}
 
-  void Hear(uint32_t part, int64_t free_cpus, SteadyTime now) {
-    if (part < parts_.size()) parts_[part] = {free_cpus, now};
+  void Hear(uint32_t part, const FreeRoom& free, SteadyTime now) {
+    if (part < parts_.size()) parts_[part] = {free, now};
   }
-  // Nothing if the owner has not been heard for a while.
-  int64_t Free(uint32_t part, SteadyTime now) const {
+  // How many of the job's tasks fit; none if the owner has not been heard for a
+  // while.
+  int64_t Tasks(uint32_t part, const JobSpec& spec, SteadyTime now) const {
     if (part >= parts_.size() || now - parts_[part].heard > kFresh) return 0;
-    return std::max<int64_t>(0, parts_[part].free);
+    const FreeRoom& free = parts_[part].free;
+    size_t size = FreeRoom::SizeFor(spec.need.cpus);
+    int64_t cpus = spec.spot ? free.any[size] : free.ordinary[size];
+    return std::max<int64_t>(0, cpus / Slot(spec));
+  }
+  void Deal(uint32_t part, const JobSpec& spec, int64_t tasks) {
+    if (part >= parts_.size()) return;
+    FreeRoom& free = parts_[part].free;
+    for (int64_t& cpus : free.any) cpus -= Slot(spec) * tasks;
+    for (int64_t& cpus : free.ordinary) cpus -= Slot(spec) * tasks;
+  }
+  // The part with room for the most of the job's tasks, and for how many;
+  // `otherwise` if none has any. Passes over `except`.
+  std::pair<uint32_t, int64_t> Roomiest(const JobSpec& spec, uint32_t otherwise,
+                                        std::optional<uint32_t> except,
+                                        SteadyTime now) const {
+    std::pair<uint32_t, int64_t> best{otherwise, 0};
+    for (uint32_t part = 0; part < parts_.size(); ++part) {
+      int64_t tasks = part == except ? 0 : Tasks(part, spec, now);
+      if (tasks > best.second) best = {part, tasks};
+    }
+    return best;
   }
-  void Deal(uint32_t part, int64_t cpus) {
-    if (part < parts_.size()) parts_[part].free -= cpus;
+  // The next part after `part` that has room for any of them.
+  std::pair<uint32_t, int64_t> NextWithRoom(const JobSpec& spec, uint32_t part,
+                                            SteadyTime now) const {
+    auto count = static_cast<uint32_t>(parts_.size());
+    for (uint32_t n = 1; n < count; ++n) {
+      uint32_t next = (part + n) % count;
+      if (int64_t tasks = Tasks(next, spec, now)) return {next, tasks};
+    }
+    return {part, 0};
   }
-  uint32_t parts() const { return static_cast<uint32_t>(parts_.size()); }
 
  private:
+  static int64_t Slot(const JobSpec& spec) {
+    return std::max(spec.need.cpus,
+                    FreeRoom::SlotOf(FreeRoom::SizeFor(spec.need.cpus)));
+  }
+
   static constexpr Duration kFresh = Millis(2500);
   struct Entry {
-    int64_t free = 0;
+    FreeRoom free;
     SteadyTime heard{};
   };
   std::vector<Entry> parts_;
--- a/src/core/users.cc
+++ b/src/core/users.cc
@@ -183,19 +183,15 @@
   // The roomiest part takes the job; if it has not room for all of it, the
   // parts take its chunks in turn, unless these depend on each other.
   SteadyTime now = context_.now();
-  uint32_t home =
+  auto anywhere =
       static_cast<uint32_t>(StableHash(spec.id, 0) % context_.parts);
-  for (uint32_t part = 0; part < context_.parts; ++part) {
-    if (context_.room.Free(part, now) > context_.room.Free(home, now)) {
-      home = part;
-    }
-  }
-  int64_t need = spec.need.cpus * static_cast<int64_t>(spec.tasks);
+  auto [home, room] = context_.room.Roomiest(spec, anywhere, std::nullopt, now);
   bool together = spec.one_zone || spec.spread;
-  bool fits = need <= context_.room.Free(home, now);
   record.home = home;
-  record.spread_over = fits || together ? 1 : context_.parts;
-  if (record.spread_over == 1) context_.room.Deal(home, need);
+  record.spread_over = spec.tasks <= room || together ? 1 : context_.parts;
+  if (record.spread_over == 1) {
+    context_.room.Deal(home, spec, spec.tasks);
+  }
   return record;
 }
 
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -11,7 +11,14 @@
   sentMicros @2 :Int64;
   stateAgeMicros @3 :Int64;
   strays @4 :List(UInt32);
-  freeCpus @5 :List(Int64);
+  free @5 :List(Room);
   requests @6 :Float64;
   writes @7 :Float64;
 }
+
+# Processors of a part that are free for tasks of 1, 2, 4 ... processors.
+struct Room {
+  part @0 :UInt32;
+  any @1 :List(Int64);
+  ordinary @2 :List(Int64);
+}
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -3,6 +3,7 @@
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include <algorithm>
 #include <cstring>
 
 #include "peer.capnp.h"
@@ -22,6 +23,16 @@
   return words;
 }
 
+using SlotList = capnp::List<int64_t>;
+
+void PutSlots(SlotList::Builder list, const FreeRoom::Slots& slots) {
+  for (unsigned i = 0; i < slots.size(); ++i) list.set(i, slots[i]);
+}
+void GetSlots(SlotList::Reader list, FreeRoom::Slots& slots) {
+  unsigned count = std::min<unsigned>(list.size(), slots.size());
+  for (unsigned i = 0; i < count; ++i) slots[i] = list[i];
+}
+
 }  // namespace
 
 std::string EncodeHello(const PeerHello& hello) {
@@ -33,8 +44,14 @@
   root.setStateAgeMicros(hello.state_age.count());
   auto strays = root.initStrays(static_cast<unsigned>(hello.strays.size()));
   for (unsigned i = 0; i < strays.size(); ++i) strays.set(i, hello.strays[i]);
-  auto free = root.initFreeCpus(static_cast<unsigned>(hello.free_cpus.size()));
-  for (unsigned i = 0; i < free.size(); ++i) free.set(i, hello.free_cpus[i]);
+  auto rooms = root.initFree(static_cast<unsigned>(hello.free.size()));
+  unsigned count = 0;
+  for (const auto& [part, free] : hello.free) {
+    auto room = rooms[count++];
+    room.setPart(part);
+    PutSlots(room.initAny(FreeRoom::kSizes), free.any);
+    PutSlots(room.initOrdinary(FreeRoom::kSizes), free.ordinary);
+  }
   root.setRequests(hello.requests);
   root.setWrites(hello.writes);
   auto words = capnp::messageToFlatArray(builder);  // owns the bytes
@@ -62,7 +79,11 @@
     hello.sent = WallTime(Duration(root.getSentMicros()));
     hello.state_age = Duration(root.getStateAgeMicros());
     for (uint32_t strays : root.getStrays()) hello.strays.push_back(strays);
-    for (int64_t free : root.getFreeCpus()) hello.free_cpus.push_back(free);
+    for (auto room : root.getFree()) {
+      FreeRoom& free = hello.free[room.getPart()];
+      GetSlots(room.getAny(), free.any);
+      GetSlots(room.getOrdinary(), free.ordinary);
+    }
     hello.requests = root.getRequests();
     hello.writes = root.getWrites();
     if (!(hello.requests >= 0) || !(hello.writes >= 0)) return std::nullopt;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -472,6 +472,31 @@
   EXPECT_FALSE(Allowed(spec, machine, ZoneUse{{{"a", 3}}, 3}));
 }
 
+// Work is only sent where its tasks fit: not to many machines with a little
+// room each, nor to spot machines that it may not use.
+TEST(RoomBook, CountsWholeTasks) {
+  SteadyTime now{Seconds(10)};
+  auto cpus = [](double n) { return Resources::FromDecimal(n); };
+  RoomBook book(3);
+  FreeRoom scattered;
+  for (int i = 0; i < 8; ++i) scattered.AddMachine(cpus(3), false);
+  FreeRoom whole;
+  whole.AddMachine(cpus(8), true);
+  book.Hear(0, scattered, now);
+  book.Hear(1, whole, now);
+  JobSpec small = Spec("run-1", 4, 1);
+  JobSpec large = Spec("run-2", 4, 4);
+  EXPECT_EQ(book.Roomiest(small, 2, {}, now), std::pair(0u, int64_t{24}));
+  EXPECT_EQ(book.Roomiest(large, 2, {}, now), std::pair(1u, int64_t{2}));
+  large.spot = false;
+  EXPECT_EQ(book.Roomiest(large, 2, {}, now), std::pair(2u, int64_t{0}));
+  large.spot = true;
+  book.Deal(1, large, 2);
+  EXPECT_EQ(book.Tasks(1, large, now), 0);
+  EXPECT_EQ(book.NextWithRoom(small, 1, now).first, 0u);
+  EXPECT_EQ(book.Tasks(0, small, now + Seconds(3)), 0);
+}
+
 TEST(Resources, SumsOfDecimalsStayExact) {
   Resources need = Resources::FromDecimals(0.1, 0, 2.7);
   Resources room = Resources::FromDecimals(1, 0, 27);
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -14,6 +14,7 @@
     config.seed = seed;
     config.parts = seed % 4;
     if (seed % 3 == 0) config.trouble_every = pitchfall::Seconds(3);
+    config.log_debug = count == 1;
     pitchfall::sim::World world(config);
     world.Run();
     bool lost = world.finished() != world.accepted();
