--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -374,29 +374,35 @@
          (spec.zone.empty() || spec.zone == offer.zone);
 }
 
-bool Fleet::Ask(const Offer& offer, int count, std::string_view reason) {
+bool Fleet::Refused(const Offer& offer) const {
   auto refused = refused_until_.find(offer);
-  if (refused != refused_until_.end() && context_.now() < refused->second) {
-    return false;
-  }
-  RentalRecord record;
-  record.type = offer.type;
-  record.zone = offer.zone;
-  record.spot = offer.spot;
-  record.count = std::min(kMostPerRental, static_cast<uint32_t>(count));
-  record.asked = context_.out.now().wall;
-  std::string name = fmt::format("r-{}-{}", token_, ++rentals_made_);
+  return refused != refused_until_.end() && context_.now() < refused->second;
+}
+
+// As many rentals as it takes, stored together: one for each turn would let a
+// large fleet wait for its last machines for longer than they take to boot.
+void Fleet::Ask(const Offer& offer, int count, std::string_view reason) {
   reason_ = reason;
-  context_.out.Log(LogLevel::kInfo,
-                   "event=rent name={} type={} zone={} spot={} count={} "
-                   "target={} have={} reason={}",
-                   name, offer.type, offer.zone, offer.spot, record.count,
-                   target_, count_, reason);
   Transaction txn;
-  txn.conditions.push_back({keys::Rental(name), 0});
-  txn.writes.push_back({keys::Rental(name), std::move(record), 0});
+  size_t most = std::max<size_t>(1, context_.deployment.txn_ops / 2);
+  while (count > 0 && txn.writes.size() < most) {
+    RentalRecord record;
+    record.type = offer.type;
+    record.zone = offer.zone;
+    record.spot = offer.spot;
+    record.count = std::min(kMostPerRental, static_cast<uint32_t>(count));
+    record.asked = context_.out.now().wall;
+    count -= static_cast<int>(record.count);
+    std::string name = fmt::format("r-{}-{}", token_, ++rentals_made_);
+    context_.out.Log(LogLevel::kInfo,
+                     "event=rent name={} type={} zone={} spot={} count={} "
+                     "target={} have={} reason={}",
+                     name, offer.type, offer.zone, offer.spot, record.count,
+                     target_, count_, reason);
+    txn.conditions.push_back({keys::Rental(name), 0});
+    txn.writes.push_back({keys::Rental(name), std::move(record), 0});
+  }
   Store(std::move(txn), [](const StateReply&) {});
-  return true;
 }
 
 // The cheapest offer that has not been refused lately.
@@ -404,14 +410,17 @@
   bool spot_useful = demand.ordinary_only.cpus < demand.requested.cpus;
   for (const Offer& offer : OffersByPrice()) {
     if (offer.spot && (ordinary_only || !spot_useful)) continue;
-    if (Ask(offer, count, ordinary_only ? "ordinary" : "target")) return;
+    if (Refused(offer)) continue;
+    Ask(offer, count, ordinary_only ? "ordinary" : "target");
+    return;
   }
 }
 
 void Fleet::RentFor(const Job& job) {
   for (const Offer& offer : OffersByPrice()) {
-    if (!Serves(job.spec(), offer)) continue;
-    if (Ask(offer, 1, "unserved")) return;
+    if (!Serves(job.spec(), offer) || Refused(offer)) continue;
+    Ask(offer, 1, "unserved");
+    return;
   }
 }
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -60,7 +60,8 @@
   void DeleteBroken(std::vector<std::string> names);
   void RentMore(int count, const Demand& demand, bool ordinary_only);
   void RentFor(const Job& job);
-  bool Ask(const Offer& offer, int count, std::string_view reason);
+  bool Refused(const Offer& offer) const;
+  void Ask(const Offer& offer, int count, std::string_view reason);
   bool Serves(const JobSpec& spec, const Offer& offer) const;
   void GiveBack(int surplus, int spare_ordinary, const Use& use);
   // Keeps up to `count` machines that were chosen to go; how many.
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -64,7 +64,7 @@
   Duration cloud_timeout{Millis(5000)};
   Duration hold_report{Millis(1000)};
   Duration idle_before_return{Millis(5000)};
-  uint32_t max_machines = 500;
+  uint32_t max_machines = 10000;
   uint32_t parts = 0;  // 0: as many as controllers
   uint32_t chunk_tasks = 8;
   Duration claim_delay{Millis(300)};
