--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -72,7 +72,14 @@
   std::set<std::string> error_jobs;
   int errors = 0;
   bool succeeded = false;  // has ever completed a task for this owner
+  // Images that are surely there, and those of held tasks (how many) and of
+  // tasks in the transaction being built, which will be.
   std::set<std::string> images;
+  std::map<std::string, int> held_images;
+  std::set<std::string> planned_images;
+  bool Coming(const std::string& image) const {
+    return held_images.contains(image) || planned_images.contains(image);
+  }
 
   Resources Free() const { return capacity - used - stray_use - planned; }
   bool TakesTasks(SteadyTime now) const {
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -81,6 +81,9 @@
     if (among(mine(after), assignment)) continue;
     Machine& machine = GetMachine(assignment.machine);
     machine.held.erase({spec.id, assignment.task});
+    if (--machine.held_images[spec.image] <= 0) {
+      machine.held_images.erase(spec.image);
+    }
     machine.used -= spec.need;
     team_use_[spec.team] -= spec.need;
   }
@@ -92,6 +95,7 @@
     held.attempt = assignment.attempt;
     held.inherited = adopting_;
     machine.held[{spec.id, assignment.task}] = held;
+    machine.held_images[spec.image] += 1;
     machine.used += spec.need;
     machine.idle_since.reset();
     team_use_[spec.team] += spec.need;
@@ -574,7 +578,8 @@
        ++task) {
     if (HasTask(taken, task)) continue;
     if (on >= kMostInChunk) return Placed::kAll;
-    Machine* machine = ChooseMachine(spec, use, open, avoid);
+    Machine* machine =
+        ChooseMachine(spec, tasks - CountTasks(taken), use, open, avoid);
     if (machine == nullptr) return Placed::kNoMachine;
     if (!AllotTeam(draft, job)) return Placed::kNoQuota;
     ChunkRecord& changed = Touch(draft, job, chunk).record;
@@ -583,8 +588,10 @@
     changed.assigned.push_back({task, attempt, machine->name, machine->zone});
     changed.next_attempt = attempt + 1;
     ++on;
+    AddTask(taken, task);
     draft.starting.insert(&job);
     machine->planned += spec.need;
+    machine->planned_images.insert(spec.image);
     team_planned_[spec.team] += spec.need;
     use.tasks[machine->zone] += 1;
     use.total += 1;
@@ -777,9 +784,42 @@
   for (const auto& [name, machine] : machines_) load.used += machine.used;
   load.started = started_;
   load.waited = waited_;
+  LogLoad(load);
   draft.load = std::move(load);
 }
 
+// What the part's room is used for, in processors.
+void Part::LogLoad(const LoadRecord& load) const {
+  int64_t total = 0;
+  int64_t draining = 0;
+  int64_t starting = 0;
+  int64_t fetching = 0;
+  int64_t running = 0;
+  int64_t leaving = 0;
+  for (const auto& [name, machine] : machines_) {
+    total += machine.capacity.cpus;
+    if (!machine.TakesTasks(context_.now())) draining += machine.Free().cpus;
+    for (const auto& [key, task] : machine.held) {
+      int64_t cpus = task.job->spec().need.cpus;
+      (!task.state                           ? starting
+       : *task.state == TaskState::kFetching ? fetching
+       : *task.state == TaskState::kRunning  ? running
+                                             : leaving) += cpus;
+    }
+  }
+  auto amount = [](int64_t cpus) {
+    return static_cast<double>(cpus) / Resources::kUnit;
+  };
+  context_.out.Log(
+      LogLevel::kInfo,
+      "event=part_load part={} machines={} cpus={:.0f} starting={:.0f} "
+      "fetching={:.0f} running={:.0f} ended={:.0f} closed={:.0f} waiting={} "
+      "started={} segment_bytes={}",
+      number_, machines_.size(), amount(total), amount(starting),
+      amount(fetching), amount(running), amount(leaving), amount(draining),
+      load.waiting, load.started, LiveBytes(context_.mirror, number_));
+}
+
 std::optional<Transaction> Part::MakeTransaction(const Draft& draft) const {
   const Deployment& d = context_.deployment;
   Transaction txn;
@@ -840,7 +880,10 @@
   SteadyTime now = context_.now();
   next_plan_ = now + kPlanGap;
   dirty_ = false;
-  for (auto& [name, machine] : machines_) machine.planned = {};
+  for (auto& [name, machine] : machines_) {
+    machine.planned = {};
+    machine.planned_images.clear();
+  }
   team_planned_.clear();
   // One token is for the segment. What goes beyond the tokens at hand is
   // borrowed, so that a finished job need not wait until nothing else changes.
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -110,6 +110,7 @@
   void RaiseFence();
   // Adds this period's report to what is stored next.
   void DraftLoad(Draft& draft);
+  void LogLoad(const LoadRecord& load) const;
   Draft::ChunkChange& Touch(Draft& draft, const Job& job, uint32_t chunk);
   void DraftEnds(Draft& draft);
   void DraftFinishedJobs(Draft& draft);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -86,18 +86,22 @@
   return true;
 }
 
-Machine* ChooseMachine(const JobSpec& spec, const ZoneUse& use,
+Machine* ChooseMachine(const JobSpec& spec, uint32_t waiting,
+                       const ZoneUse& use,
                        const std::vector<Machine*>& machines,
                        const std::set<std::string>& avoid) {
+  using Score = std::tuple<int, int, int64_t, int64_t>;
   Machine* best = nullptr;
-  std::tuple<int, int, int64_t> best_score;
+  Score best_score;
   for (Machine* machine : machines) {
     Resources free = machine->Free();
     if (!spec.need.FitsIn(free) || avoid.contains(machine->name)) continue;
     if (!Allowed(spec, *machine, use)) continue;
-    std::tuple<int, int, int64_t> score{
-        machine->images.contains(spec.image) ? 0 : 1, machine->spot ? 0 : 1,
-        free.cpus};
+    int image = machine->images.contains(spec.image) ? 0
+                : machine->Coming(spec.image)        ? 1
+                                                     : 2;
+    int64_t tasks = image < 2 ? 0 : spec.need.CountIn(free, waiting);
+    Score score{image, machine->spot ? 0 : 1, -tasks, free.cpus};
     if (best == nullptr || score < best_score) {
       best = machine;
       best_score = score;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -41,11 +41,14 @@
 // where its other tasks are.
 bool Allowed(const JobSpec& spec, const Machine& machine, const ZoneUse& use);
 
-// The best machine with room for one task among `machines`, or null. Machines
-// that have the image come first, then cheap ones, then the fullest, so that
-// dear and hardly used ones run empty and can be returned.
-// Machines in `avoid` are passed over.
-Machine* ChooseMachine(const JobSpec& spec, const ZoneUse& use,
+// The best machine with room for one task among `machines`, or null, when
+// `waiting` of them are to be placed. Machines that have the image come first,
+// then those that are to get it anyhow: a fetch is paid once for all tasks that
+// wait for it. Then cheap ones, then one with room for as many of them as can
+// be, for the same reason; then the fullest, so that dear and hardly used ones
+// run empty and can be returned. Machines in `avoid` are passed over.
+Machine* ChooseMachine(const JobSpec& spec, uint32_t waiting,
+                       const ZoneUse& use,
                        const std::vector<Machine*>& machines,
                        const std::set<std::string>& avoid);
 
--- a/src/core/sizing/target.cc
+++ b/src/core/sizing/target.cc
@@ -51,7 +51,8 @@
   double spare = in.delay_bound - in.curve.base;
   double utilisation = std::max(
       in.least_utilisation, spare <= 0 ? 0 : spare / (in.curve.slope + spare));
-  target = std::min(target, in.room / utilisation);
+  target = std::min({target, in.room / utilisation,
+                     in.room + in.most_spare * std::sqrt(in.room)});
   // Whole machines, but not one more for a rounding error.
   return static_cast<int>(std::ceil(target - 1e-9));
 }
--- a/src/core/sizing/target.h
+++ b/src/core/sizing/target.h
@@ -35,11 +35,14 @@
   // The cap never asks for more than w over this: delays that have other causes
   // than load make the fitted utilisation meaningless.
   double least_utilisation = 0.8;
+  // Nor for more than w and this times its square root: the more machines there
+  // are, the smaller the share of them that must be free for some to be.
+  double most_spare = 1.1;
   DelayCurve curve;
 };
 
 // w + sqrt(N p a w / (c E)), at most w over the utilisation at which the fitted
-// delay meets the bound, rounded up.
+// delay meets the bound and at most w + s sqrt(w), rounded up.
 int Target(const TargetInputs& in);
 
 }  // namespace pitchfall::sizing
--- a/tests/sizing_test.cc
+++ b/tests/sizing_test.cc
@@ -20,6 +20,7 @@
   in.rent = 2;
   in.curve = {4, 0};
   in.least_utilisation = 0;
+  in.most_spare = 100;
   in.delay_bound = 0.1;  // the cap is far away
   // 4 + sqrt(9 * 0.5 * 4 * 4 / 2) = 4 + 6
   EXPECT_EQ(Target(in), 10);
@@ -28,6 +29,9 @@
   EXPECT_EQ(Target(in), 7);
   in.least_utilisation = 0.8;  // at most 4 / 0.8
   EXPECT_EQ(Target(in), 5);
+  in.least_utilisation = 0;
+  in.most_spare = 1;  // at most 4 + 2
+  EXPECT_EQ(Target(in), 6);
   in.waiting = 0;
   EXPECT_EQ(Target(in), 4);
   in.room = 4.2;
@@ -45,6 +49,7 @@
   in.rent = 1.5;
   in.curve = {3, 1};
   in.least_utilisation = 0;
+  in.most_spare = 100;
   in.delay_bound = 1.1;
   double best = 0;
   double best_cost = 1e18;
