As many jobs on time as can be; jobs must begin; what can save leaves emptying machines

Cause: at their teams' limits (98% used) jobs were taken by due time alone, which makes all a little late, and unimportant ones waited without end. Machines chosen to go stayed for the sake of single long tasks: up to 10% of the processors were closed (part_load).

--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -36,6 +36,7 @@
   bool stop() const { return leave || preempted; }
   bool stop_sent = false;  // by a direct command
   std::optional<TaskState> state;
+  std::optional<SteadyTime> running_since;  // as far as this owner has seen
 };
 
 struct Machine {
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -27,6 +27,9 @@
 // A report waits so long for tokens before it is answered without what they
 // would have stored.
 constexpr Duration kStoreWait = Millis(600);
+// A start does not count for users if the task is stopped sooner.
+constexpr Duration kLeastRun = Millis(32000);
+constexpr Duration kWorthMoving = Millis(10000);
 // Of the largest value; the rest is for what counting in advance may miss.
 constexpr double kValueUse = 0.9;
 
@@ -180,6 +183,9 @@
     if (held != machine.held.end() && held->second.attempt == task.attempt) {
       held->second.seen = true;
       held->second.state = task.state;
+      if (task.state == TaskState::kRunning && !held->second.running_since) {
+        held->second.running_since = machine.heard;
+      }
       if (task.state != TaskState::kFetching) {
         machine.images.insert(held->second.job->spec().image);
       }
@@ -342,6 +348,7 @@
         if (task.job->spec().shape == Shape::kService) task.leave = true;
       }
     }
+    if (machine.drain) MoveSavable(machine);
     if (machine.taken_at) {
       // Save what can be saved before the machine is taken.
       Duration left = *machine.taken_at - now;
@@ -361,6 +368,28 @@
   }
 }
 
+// What is left on a machine that is to go keeps it rented. Tasks that can save
+// go on elsewhere if nothing else is left there, unless they have only begun or
+// are about to end: moving costs the saving, a fetch and a new start.
+void Part::MoveSavable(Machine& machine) {
+  SteadyTime now = context_.now();
+  bool worth = false;
+  for (const auto& [key, task] : machine.held) {
+    const JobSpec& spec = task.job->spec();
+    if (spec.checkpoint.count() == 0 || !task.running_since) return;
+    Duration ran = now - *task.running_since;
+    if (ran < kLeastRun) return;
+    worth |= spec.estimate - ran > spec.save + kWorthMoving;
+  }
+  if (!worth) return;
+  for (auto& [key, task] : machine.held) {
+    if (task.leave) continue;
+    task.leave = true;
+    context_.out.Log(LogLevel::kInfo, "event=move job={} task={} machine={}",
+                     key.first, key.second, machine.name);
+  }
+}
+
 void Part::DeleteMachines() {
   SteadyTime now = context_.now();
   if (deleting_ || now < next_delete_ || machines_.empty()) return;
@@ -505,7 +534,8 @@
   if (found == context_.deployment.teams.end()) return false;
   const Team& team = found->second;
   if (team.cpus_limit == 0 && team.gpus_limit == 0) return true;
-  if (!LeavesReserved(spec)) return false;
+  bool must_begin = MustBegin(job, context_.out.now().wall);
+  if (!must_begin && !LeavesReserved(spec)) return false;
   Resources use = team_use_[spec.team] + team_planned_[spec.team] + spec.need;
   TeamRecord record = TeamOf(draft, spec.team);
   TeamRecord::Allotment& mine = record.parts[number_];
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -103,6 +103,7 @@
   void ReachWorkers();
   void ShowToken(const ListedMachine& listed);
   void CheckMachines();
+  void MoveSavable(Machine& machine);
   void DeleteMachines();
 
   void WalkMachines();
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -1,30 +1,47 @@
 #include "core/placement.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
+#include <map>
 #include <utility>
 
 namespace pitchfall {
 
-int64_t DueOf(const Job& job, WallTime now, const Deployment& deployment) {
-  constexpr int64_t kNever = std::numeric_limits<int64_t>::max() / 2;
+namespace {
+
+constexpr int64_t kNever = std::numeric_limits<int64_t>::max() / 2;
+constexpr Duration kAgeStep = Millis(420000);
+// Running tasks are half done, as far as anybody knows.
+constexpr double kLeftOfRunning = 0.5;
+
+// A job in the plan of its team; times are seconds from now.
+struct Planned {
+  const Job* job = nullptr;
+  int priority = 0;
+  double work = 0;  // processor seconds
+  std::vector<double> dues;
+  size_t due = 0;  // the one that is aimed at
+
+  bool hopeless() const { return due >= dues.size(); }
+};
+
+Planned PlanJob(const Job& job, WallTime now, const Deployment& deployment) {
   const JobSpec& spec = job.spec();
-  // The rest runs in as many rounds as the limit makes necessary.
-  int64_t tasks = spec.tasks - std::min(spec.tasks, job.done);
-  int64_t rounds = 1;
-  auto team = deployment.teams.find(spec.team);
-  if (team != deployment.teams.end() && team->second.cpus_limit > 0) {
-    int64_t at_once =
-        std::max<int64_t>(1, team->second.cpus_limit / spec.need.cpus);
-    rounds = std::max<int64_t>(1, (tasks + at_once - 1) / at_once);
-  }
-  int64_t earliest_end =
-      (now.time_since_epoch() + spec.estimate * rounds).count();
-  int64_t submitted = job.record.submitted.time_since_epoch().count();
-  int64_t due = kNever;
+  Planned planned;
+  planned.job = &job;
+  planned.priority = AgedPriority(job, now);
+  double run = ToSeconds(spec.estimate);
+  double left = spec.tasks - std::min(spec.tasks, job.done + job.assigned) +
+                kLeftOfRunning * job.assigned;
+  planned.work =
+      left * static_cast<double>(spec.need.cpus) / Resources::kUnit * run;
+  double age = ToSeconds(now - job.record.submitted);
   auto consider = [&](Duration within) {
-    int64_t end = submitted + within.count();
-    if (end >= earliest_end) due = std::min(due, end);
+    double rest = ToSeconds(within) - age;
+    if (rest >= run * (job.waiting() > 0 ? 1 : kLeftOfRunning)) {
+      planned.dues.push_back(rest);
+    }
   };
   if (spec.deadline) consider(*spec.deadline);
   for (const Objective& objective : deployment.objectives) {
@@ -32,45 +49,132 @@
       consider(objective.within);
     }
   }
-  return due;
+  std::sort(planned.dues.begin(), planned.dues.end());
+  return planned;
+}
+
+// One pass of Moore's algorithm over the jobs that still aim at a due time;
+// whether any had to step back. Work is done at `speed` processors, from
+// `begin` on.
+bool StepBack(std::vector<Planned*>& jobs, double begin, double speed) {
+  std::sort(jobs.begin(), jobs.end(), [](const Planned* a, const Planned* b) {
+    if (a->hopeless() || b->hopeless()) return b->hopeless() && !a->hopeless();
+    return a->dues[a->due] < b->dues[b->due];
+  });
+  auto less_work = [](const Planned* a, const Planned* b) {
+    return a->work < b->work;
+  };
+  std::vector<Planned*> on_time;  // a heap, the most work first
+  double end = begin;
+  bool any = false;
+  for (Planned* job : jobs) {
+    if (job->hopeless()) break;
+    on_time.push_back(job);
+    std::push_heap(on_time.begin(), on_time.end(), less_work);
+    end += job->work / speed;
+    if (end <= job->dues[job->due]) continue;
+    std::pop_heap(on_time.begin(), on_time.end(), less_work);
+    on_time.back()->due += 1;
+    end -= on_time.back()->work / speed;
+    on_time.pop_back();
+    any = true;
+  }
+  return any;
+}
+
+// Due times for a team's jobs, the more important ones first.
+void PlanTeam(std::vector<Planned>& jobs, double speed) {
+  std::map<int, std::vector<Planned*>, std::greater<>> by_priority;
+  for (Planned& job : jobs) by_priority[job.priority].push_back(&job);
+  double begin = 0;
+  for (auto& [priority, group] : by_priority) {
+    while (StepBack(group, begin, speed)) {
+    }
+    for (const Planned* job : group) begin += job->work / speed;
+  }
+}
+
+// How many processors work for an unlimited team, about: those that are
+// rented, or will be by the leader's last decision.
+double ClusterSpeed(const Mirror& mirror) {
+  double speed = 1;
+  for (const auto& [id, job] : mirror.open_jobs()) {
+    speed += static_cast<double>(job->spec().need.cpus) * job->assigned /
+             Resources::kUnit;
+  }
+  if (mirror.sizing() && mirror.types() &&
+      !mirror.types()->value.types.empty()) {
+    const MachineType& type = mirror.types()->value.types.front();
+    speed = std::max(speed, mirror.sizing()->value.target *
+                                static_cast<double>(type.capacity.cpus) /
+                                Resources::kUnit);
+  }
+  return speed;
+}
+
+}  // namespace
+
+bool MustBegin(const Job& job, WallTime now) {
+  return job.done + job.assigned == 0 && !job.record.final() &&
+         now - job.record.submitted >= kMustBegin;
+}
+
+int AgedPriority(const Job& job, WallTime now) {
+  auto steps = (now - job.record.submitted) / kAgeStep;
+  int most = static_cast<int>(Priority::kProduction);
+  int own = static_cast<int>(job.spec().priority);
+  return std::clamp(own + static_cast<int>(std::min<int64_t>(steps, most)), own,
+                    most);
 }
 
 std::vector<const Job*> OrderJobs(const Mirror& mirror, WallTime now,
                                   const Deployment& deployment) {
-  std::vector<const Job*> jobs;
+  std::map<std::string, std::vector<Planned>> teams;
   for (const auto& [id, job] : mirror.open_jobs()) {
-    if (!job->record.final()) jobs.push_back(job);
+    if (job->record.final()) continue;
+    teams[job->spec().team].push_back(PlanJob(*job, now, deployment));
   }
-  // Within a team the more important jobs come first, and as long as they all
-  // fit into its guarantee together they need not wait for other teams.
-  auto own = [&](const Job* job) {
-    return std::tuple(-static_cast<int>(job->spec().priority),
-                      DueOf(*job, now, deployment),
-                      job->record.submitted.time_since_epoch().count());
-  };
+  double cluster = ClusterSpeed(mirror);
   std::vector<std::pair<JobRank, const Job*>> ranked;
-  ranked.reserve(jobs.size());
-  for (const Job* job : jobs) {
-    auto [priority, due, submitted] = own(job);
-    ranked.push_back({JobRank{0, priority, due, submitted}, job});
-  }
   auto by_rank = [](const auto& a, const auto& b) {
     if (a.first != b.first) return a.first < b.first;
     return a.second->spec().id < b.second->spec().id;
   };
-  std::sort(ranked.begin(), ranked.end(), by_rank);
-  std::map<std::string, int64_t> used;
-  for (auto& [rank, job] : ranked) {
-    const JobSpec& spec = job->spec();
-    auto team = deployment.teams.find(spec.team);
-    int64_t& cpus = used[spec.team];
-    cpus += spec.need.cpus * static_cast<int64_t>(spec.tasks);
-    bool guaranteed =
-        team != deployment.teams.end() && cpus <= team->second.cpus_guaranteed;
-    std::get<0>(rank) = guaranteed ? 0 : 1;
+  // Within a team the more important jobs come first, and as long as they all
+  // fit into its guarantee together they need not wait for other teams.
+  for (auto& [name, jobs] : teams) {
+    auto team = deployment.teams.find(name);
+    int64_t limit =
+        team == deployment.teams.end() ? 0 : team->second.cpus_limit;
+    int64_t guaranteed =
+        team == deployment.teams.end() ? 0 : team->second.cpus_guaranteed;
+    PlanTeam(jobs, limit > 0 ? static_cast<double>(limit) / Resources::kUnit
+                             : cluster);
+    size_t first = ranked.size();
+    for (const Planned& planned : jobs) {
+      const Job& job = *planned.job;
+      int64_t submitted = job.record.submitted.time_since_epoch().count();
+      int64_t due = kNever;
+      if (!planned.hopeless()) {
+        due = (now.time_since_epoch() + Seconds(planned.dues[planned.due]))
+                  .count();
+      }
+      int begin = MustBegin(job, now) ? 0 : 1;
+      ranked.push_back(
+          {JobRank{begin, -planned.priority, due, submitted}, &job});
+    }
+    std::sort(ranked.begin() + static_cast<ptrdiff_t>(first), ranked.end(),
+              by_rank);
+    int64_t used = 0;
+    for (size_t i = first; i < ranked.size(); ++i) {
+      auto& [rank, job] = ranked[i];
+      used += job->spec().need.cpus * static_cast<int64_t>(job->spec().tasks);
+      if (std::get<0>(rank) != 0)
+        std::get<0>(rank) = used <= guaranteed ? 1 : 2;
+    }
   }
   std::sort(ranked.begin(), ranked.end(), by_rank);
-  jobs.clear();
+  std::vector<const Job*> jobs;
   for (const auto& [rank, job] : ranked) jobs.push_back(job);
   return jobs;
 }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -17,16 +17,27 @@
 
 namespace pitchfall {
 
-// Smaller goes first: guarantee, priority, deadline, age.
+// Smaller goes first: guarantee, priority, due time, age.
 using JobRank = std::tuple<int, int, int64_t, int64_t>;
 
-// When the job should be complete, as micros of the time of day: the earliest
-// of its deadline and its class's objectives that can still be met, by the
-// estimate and by what the team's limit lets run at once. A job that can meet
-// none comes after all that can.
-int64_t DueOf(const Job& job, WallTime now, const Deployment& deployment);
+// A job that has waited this long without any of its tasks having started goes
+// before all others until one has: large jobs and unimportant ones must not
+// wait for ever behind a stream of small and urgent ones.
+inline constexpr Duration kMustBegin = Millis(150000);
+bool MustBegin(const Job& job, WallTime now);
+
+// The job's priority as far as the order goes; it rises as the job ages. Who
+// may make room for whom follows from the job's own priority alone.
+int AgedPriority(const Job& job, WallTime now);
 
 // All open jobs in the order in which they should get room.
+//
+// Due times are those of the deadline and of the class's objectives. Under
+// overload not all can be met, and going by the earliest would make all a
+// little late. Of a team's jobs of one priority as many as possible are planned
+// to be on time (Moore's algorithm: by due time, and whenever one would be
+// late, the one with the most work so far steps back to its next due time);
+// those that can meet none come last.
 std::vector<const Job*> OrderJobs(const Mirror& mirror, WallTime now,
                                   const Deployment& deployment);
 
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -377,6 +377,57 @@
                                              "run-4"}));
 }
 
+std::vector<std::string> OrderAt(const Mirror& mirror, double now_s,
+                                 const Deployment& d) {
+  std::vector<std::string> order;
+  for (const Job* job : OrderJobs(mirror, WallTime(Seconds(now_s)), d)) {
+    order.push_back(job->spec().id);
+  }
+  return order;
+}
+
+// Three jobs of which two can be on time: by due time alone all but the first
+// would be late.
+TEST(OrderJobs, TheOneWithTheMostWorkStepsBackWhenNotAllCanBeOnTime) {
+  Mirror mirror;
+  Deployment d = OneTeam(0, 10);
+  auto add = [&](const char* id, uint32_t tasks, double due) {
+    JobSpec spec = Spec(id, tasks, 1);  // 10 s each, 10 at once
+    spec.deadline = Seconds(due);
+    mirror.Apply(JobChange(spec, 1));
+  };
+  add("run-1", 40, 45);  // 40 s
+  add("run-2", 20, 50);
+  add("run-3", 20, 55);
+  EXPECT_EQ(OrderAt(mirror, 0, d),
+            (std::vector<std::string>{"run-2", "run-3", "run-1"}));
+  // With twice the room all can.
+  d = OneTeam(0, 20);
+  EXPECT_EQ(OrderAt(mirror, 0, d),
+            (std::vector<std::string>{"run-1", "run-2", "run-3"}));
+}
+
+TEST(OrderJobs, NoJobWaitsForEverBehindOthers) {
+  Mirror mirror;
+  Deployment d = OneTeam(4, 0);
+  JobSpec large = Spec("run-1", 500, 1);
+  large.priority = Priority::kLow;
+  mirror.Apply(JobChange(large, 1));
+  JobSpec urgent = Spec("run-2", 1, 1);
+  urgent.priority = Priority::kHigh;
+  Change later = JobChange(urgent, 2);
+  std::get<JobRecord>(*later.value).submitted = WallTime(Seconds(90));
+  mirror.Apply(later);
+  using Order = std::vector<std::string>;
+  EXPECT_EQ(OrderAt(mirror, 100, d), (Order{"run-2", "run-1"}));
+  EXPECT_EQ(OrderAt(mirror, 151, d), (Order{"run-1", "run-2"}));
+  // Once it has begun it takes its turn again.
+  mirror.Apply(ChunkChange("run-1", 0, 3, {{0, 1, "m-1", "a"}}));
+  EXPECT_EQ(OrderAt(mirror, 151, d), (Order{"run-2", "run-1"}));
+  EXPECT_EQ(AgedPriority(*mirror.FindJob("run-1"), WallTime(Seconds(900))),
+            static_cast<int>(Priority::kHigh));
+}
+
 TEST(Preemption, StopsOnlyLesserTasksThatCanSaveAndOnlyAsManyAsNeeded) {
   Mirror mirror;
   Deployment d = OneTeam(0, 10);
