What has grown old or has just begun is not stopped for what it goes before

Change: the age that raises a job in the order protects it too, and room that is kept for waiting work is kept by the same priority. Test: Preemption.SparesWhatHasGrownOld.

--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -599,7 +599,7 @@
   const Team& team = found->second;
   if (team.cpus_limit == 0 && team.gpus_limit == 0) return true;
   bool must_begin = MustBegin(job, context_.out.now().wall);
-  if (!must_begin && !LeavesReserved(spec)) return false;
+  if (!must_begin && !LeavesReserved(job)) return false;
   Resources use = team_use_[spec.team] + team_planned_[spec.team] + spec.need;
   TeamRecord record = TeamOf(draft, spec.team);
   TeamRecord::Allotment& mine = record.parts[number_];
@@ -634,7 +634,7 @@
     }
     SteadyTime since = allotment_unused_since_.emplace(name, now).first->second;
     // At once only if another part may be waiting for it.
-    auto wanted = reserved_.lower_bound({name, Priority::kLow});
+    auto wanted = reserved_.lower_bound({name, 0});
     bool needed = wanted != reserved_.end() && wanted->first.first == name;
     if (now - since < (needed ? kAllotmentShortRest : kAllotmentRest)) continue;
     if (!draft.teams.contains(name) && draft.others() >= draft_limit_) return;
@@ -781,10 +781,12 @@
 
 // Room that more important jobs of the team are waiting for, here or in other
 // parts, is not given to lesser ones.
-bool Part::LeavesReserved(const JobSpec& spec) const {
+bool Part::LeavesReserved(const Job& job) const {
+  const JobSpec& spec = job.spec();
+  int priority = AgedPriority(job, context_.out.now().wall);
   const Team& team = context_.deployment.teams.at(spec.team);
   Resources use = TeamUseEverywhere(spec.team) + spec.need;
-  for (auto it = reserved_.upper_bound({spec.team, spec.priority});
+  for (auto it = reserved_.upper_bound({spec.team, priority});
        it != reserved_.end() && it->first.first == spec.team; ++it) {
     use += it->second;
   }
@@ -793,8 +795,8 @@
 }
 
 void Part::Preempt(const std::vector<const Job*>& jobs) {
-  std::set<Victim> victims =
-      ChooseVictims(context_.mirror, context_.deployment, jobs);
+  std::set<Victim> victims = ChooseVictims(context_.mirror, context_.deployment,
+                                           jobs, context_.out.now().wall);
   for (auto& [name, machine] : machines_) {
     for (auto& [key, task] : machine.held) {
       bool chosen = victims.contains({key.first, key.second, task.attempt});
@@ -853,7 +855,8 @@
     if (placed == Placed::kNoMachine) DraftMoves(draft, *job);
     int64_t still =
         static_cast<int64_t>(job->waiting()) - (draft.starts - starts_before);
-    if (still > 0) reserved_[{spec.team, spec.priority}] += spec.need * still;
+    int priority = AgedPriority(*job, context_.out.now().wall);
+    if (still > 0) reserved_[{spec.team, priority}] += spec.need * still;
   }
   waiting_since_ = std::move(waiting);
 }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -124,7 +124,7 @@
   void DraftStarts(Draft& draft, const std::vector<const Job*>& jobs);
   void Preempt(const std::vector<const Job*>& jobs);
   Resources TeamUseEverywhere(const std::string& team) const;
-  bool LeavesReserved(const JobSpec& spec) const;
+  bool LeavesReserved(const Job& job) const;
   void DraftGiveBack(Draft& draft);
   bool GangFits(const Job& job, const std::vector<Machine*>& open) const;
   bool Owns(const Job& job, uint32_t chunk) const {
@@ -162,8 +162,8 @@
   std::map<std::string, Resources> team_use_;  // by what this part holds
   std::map<std::string, Resources> team_planned_;
   std::map<std::string, Resources> team_use_everywhere_;
-  // Room that waiting jobs ask for, by team and priority.
-  std::map<std::pair<std::string, Priority>, Resources> reserved_;
+  // Room that waiting jobs ask for, by team and aged priority.
+  std::map<std::pair<std::string, int>, Resources> reserved_;
   std::map<std::string, JobHealth> job_health_;
   std::map<std::string, SteadyTime> waiting_since_;  // by job
   std::map<std::string, SteadyTime> allotment_unused_since_;
--- a/src/core/preemption.cc
+++ b/src/core/preemption.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <map>
 
+#include "core/placement.h"
+
 namespace pitchfall {
 namespace {
 
@@ -17,43 +19,52 @@
 struct Candidate {
   const Job* job = nullptr;
   Assignment assignment;
+  int priority = 0;
 };
 
+// Neither a job that had to wait long to begin nor one that has grown old makes
+// room for what it goes before by now: it would be started again at once.
+bool Spared(const Job& job, WallTime now) {
+  return job.done == 0 && now - job.record.submitted >= kMustBegin;
+}
+
 // The least important and last in order come first.
 std::vector<Candidate> Candidates(const std::vector<const Job*>& jobs,
-                                  const std::string& team) {
+                                  const std::string& team, WallTime now) {
   std::vector<Candidate> candidates;
   for (auto it = jobs.rbegin(); it != jobs.rend(); ++it) {
     const Job* job = *it;
-    if (job->spec().team != team || job->spec().checkpoint.count() == 0) {
+    if (job->spec().team != team || job->spec().checkpoint.count() == 0 ||
+        Spared(*job, now)) {
       continue;
     }
+    int priority = AgedPriority(*job, now);
     for (auto chunk = job->chunks.rbegin(); chunk != job->chunks.rend();
          ++chunk) {
       const auto& assigned = chunk->second.record.assigned;
       for (auto a = assigned.rbegin(); a != assigned.rend(); ++a) {
-        candidates.push_back({job, *a});
+        candidates.push_back({job, *a, priority});
       }
     }
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
-                     return a.job->spec().priority < b.job->spec().priority;
+                     return a.priority < b.priority;
                    });
   return candidates;
 }
 
 void ChooseInTeam(const std::string& team, const Resources& limit,
                   Resources used, const std::vector<const Job*>& jobs,
-                  std::set<Victim>& victims) {
-  std::vector<Candidate> candidates = Candidates(jobs, team);
+                  WallTime now, std::set<Victim>& victims) {
+  std::vector<Candidate> candidates = Candidates(jobs, team, now);
   size_t next = 0;
   for (const Job* job : jobs) {
     const JobSpec& spec = job->spec();
     if (spec.team != team) continue;
     for (int64_t left = job->waiting(); left > 0; --left) {
       while (!(used + spec.need).FitsIn(limit) && next < candidates.size() &&
-             candidates[next].job->spec().priority < spec.priority) {
+             candidates[next].priority < static_cast<int>(spec.priority)) {
         const Candidate& chosen = candidates[next++];
         used -= chosen.job->spec().need;
         victims.insert({chosen.job->spec().id, chosen.assignment.task,
@@ -69,7 +80,8 @@
 
 std::set<Victim> ChooseVictims(const Mirror& mirror,
                                const Deployment& deployment,
-                               const std::vector<const Job*>& jobs_in_order) {
+                               const std::vector<const Job*>& jobs_in_order,
+                               WallTime now) {
   std::map<std::string, Resources> used;
   for (const auto& [id, job] : mirror.open_jobs()) {
     used[job->spec().team] +=
@@ -80,7 +92,7 @@
     auto team = deployment.teams.find(name);
     if (team == deployment.teams.end()) continue;
     if (team->second.cpus_limit == 0 && team->second.gpus_limit == 0) continue;
-    ChooseInTeam(name, LimitOf(team->second), use, jobs_in_order, victims);
+    ChooseInTeam(name, LimitOf(team->second), use, jobs_in_order, now, victims);
   }
   return victims;
 }
--- a/src/core/preemption.h
+++ b/src/core/preemption.h
@@ -29,7 +29,8 @@
 // more than the wait costs.
 std::set<Victim> ChooseVictims(const Mirror& mirror,
                                const Deployment& deployment,
-                               const std::vector<const Job*>& jobs_in_order);
+                               const std::vector<const Job*>& jobs_in_order,
+                               WallTime now);
 
 }  // namespace pitchfall
 
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -446,15 +446,41 @@
   mirror.Apply(
       ChunkChange("run-2", 0, 4, {{0, 1, "m-1", "a"}, {1, 1, "m-1", "a"}}));
   EXPECT_TRUE(
-      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d)).empty());
+      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d), WallTime())
+          .empty());
   mirror.Apply(JobChange(high, 5));
   // 8 of 10 in use: one of the two high tasks fits, the other needs one stop.
-  auto victims = ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d));
+  auto victims =
+      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d), WallTime());
   ASSERT_EQ(victims.size(), 1u);
   EXPECT_EQ(victims.begin()->job, "run-1");
   EXPECT_EQ(victims.begin()->task, 2u);
 }
 
+// What goes first because it has waited for long must not be stopped for what
+// it goes before: it would be started again at once, and so on for ever.
+TEST(Preemption, SparesWhatHasGrownOld) {
+  Mirror mirror;
+  Deployment d = OneTeam(0, 4);
+  JobSpec old = Spec("run-1", 8, 2);
+  old.priority = Priority::kLow;
+  old.checkpoint = Seconds(20);
+  mirror.Apply(JobChange(old, 1));
+  mirror.Apply(ChunkChange("run-1", 0, 2, {{0, 1, "m-1", "a"}}, 0));
+  Change later = JobChange(Spec("run-2", 8, 2), 3);  // of normal priority
+  std::get<JobRecord>(*later.value).submitted = WallTime(Seconds(100));
+  mirror.Apply(later);
+  auto victims = [&](double now_s) {
+    WallTime now(Seconds(now_s));
+    return ChooseVictims(mirror, d, OrderJobs(mirror, now, d), now).size();
+  };
+  EXPECT_EQ(victims(101), 1u);
+  EXPECT_EQ(victims(160), 0u);  // it has only just begun
+  mirror.Apply(ChunkChange("run-1", 0, 4, {{1, 1, "m-1", "a"}}, 1));
+  EXPECT_EQ(victims(160), 1u);
+  EXPECT_EQ(victims(430), 0u);  // by now as important as the other
+}
+
 TEST(Preemption, EqualPriorityMakesNoRoom) {
   Mirror mirror;
   Deployment d = OneTeam(0, 4);
@@ -465,7 +491,8 @@
       ChunkChange("run-1", 0, 3, {{0, 1, "m-1", "a"}, {1, 1, "m-1", "a"}}));
   mirror.Apply(JobChange(Spec("run-2", 2, 2), 4));
   EXPECT_TRUE(
-      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d)).empty());
+      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d), WallTime())
+          .empty());
 }
 
 TEST(Demand, StaysWithinATeamsLimit) {
