--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -754,22 +754,18 @@
       break;
     case 6:
       if (!machines_.empty()) {
-        auto it = std::next(machines_.begin(),
-                            static_cast<ptrdiff_t>(Pick(machines_.size())));
-        std::string name = it->first;
+        std::string name = PickMachine();
         Note(name + " dies");
-        machines_.erase(it);
+        machines_.erase(name);
         After(Seconds(10),
               [this, name] { cloud_.SetStatus(name, "failed", now_); });
       }
       break;
     case 7:
       if (!machines_.empty()) {
-        auto it = std::next(machines_.begin(),
-                            static_cast<ptrdiff_t>(Pick(machines_.size())));
-        std::string name = it->first;
+        std::string name = PickMachine();
         Note(name + " hangs");
-        it->second->worker->hanging = true;
+        machines_[name]->worker->hanging = true;
         After(Between(1, 12), [this, name] {
           auto found = machines_.find(name);
           if (found != machines_.end()) found->second->worker->hanging = false;
@@ -789,6 +785,12 @@
   After(Between(0.2 * mean, 1.8 * mean), [this] { Trouble(); });
 }
 
+const std::string& World::PickMachine() {
+  auto it = std::next(machines_.begin(),
+                      static_cast<ptrdiff_t>(Pick(machines_.size())));
+  return it->first;
+}
+
 // What came with the grown deployments.
 void World::MoreTrouble(size_t index) {
   Node& node = *nodes_[index];
@@ -827,13 +829,11 @@
 // A machine is back within a fraction of a second and has forgotten everything.
 void World::RestartMachine() {
   if (machines_.empty()) return;
-  auto it = std::next(machines_.begin(),
-                      static_cast<ptrdiff_t>(Pick(machines_.size())));
-  std::string name = it->first;
+  std::string name = PickMachine();
   auto rented = cloud_.machines().find(name);
   if (rented == cloud_.machines().end()) return;
   Note(name + " restarts");
-  machines_.erase(it);
+  machines_.erase(name);
   After(Between(0.05, 0.8), [this, name, machine = rented->second] {
     if (cloud_.machines().contains(name) && !machines_.contains(name)) {
       AddMachine(machine);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -141,6 +141,7 @@
 
   void Trouble();
   void MoreTrouble(size_t index);
+  const std::string& PickMachine();
   void RestartMachine();
   void DeafenMachines();
   void IsolateNode();
