Stops save only what is worth it, and not where a class must start within moments

Cause: tocaocena is to start within 5 s; at their teams' limits its tasks waited for arhiv tasks that took 5 s to save what was often less work than the saving.

--- a/src/core/machines.cc
+++ b/src/core/machines.cc
@@ -16,12 +16,22 @@
   return nullptr;
 }
 
-Order StopOrder(const TaskKey& key, const HeldTask& task, bool wanted) {
+// What nobody wants any more need not be saved, nor less work than saving
+// takes.
+bool WorthSaving(const HeldTask& task, const OrderPolicy& policy) {
   const JobSpec& spec = task.job->spec();
-  // What nobody wants any more need not be saved.
-  bool save = wanted && spec.checkpoint.count() > 0;
+  if (!policy.wanted(task) || task.at_once || spec.checkpoint.count() == 0) {
+    return false;
+  }
+  if (!task.running_since) return true;
+  return (policy.now - *task.running_since) % spec.checkpoint > spec.save;
+}
+
+Order StopOrder(const TaskKey& key, const HeldTask& task,
+                const OrderPolicy& policy) {
   return {Order::Op::kStop, key.first, key.second, task.attempt,
-          save ? spec.save + Millis(1000) : Duration(0)};
+          WorthSaving(task, policy) ? task.job->spec().save + Millis(1000)
+                                    : Duration(0)};
 }
 
 }  // namespace
@@ -67,7 +77,7 @@
     if (task.stop_sent || (wanted && !task.stop())) continue;
     if (!task.state || *task.state == TaskState::kExited) continue;
     task.stop_sent = true;
-    stops.push_back(StopOrder(key, task, wanted));
+    stops.push_back(StopOrder(key, task, policy));
   }
   return stops;
 }
@@ -94,8 +104,7 @@
       stops.push_back(
           {Order::Op::kStop, task.job, task.task, task.attempt, {}});
     } else if (!policy.wanted(held->second) || held->second.stop()) {
-      stops.push_back(
-          StopOrder(held->first, held->second, policy.wanted(held->second)));
+      stops.push_back(StopOrder(held->first, held->second, policy));
     }
   }
   if (policy.may_start) {
--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -33,6 +33,7 @@
   // To be stopped: before its machine is taken, or to make room.
   bool leave = false;
   bool preempted = false;
+  bool at_once = false;  // without saving
   bool stop() const { return leave || preempted; }
   bool stop_sent = false;  // by a direct command
   std::optional<TaskState> state;
@@ -121,6 +122,7 @@
 struct OrderPolicy {
   uint64_t token = 0;
   bool may_start = false;
+  SteadyTime now{};
   // Whether a held task should be running.
   std::function<bool(const HeldTask&)> wanted;
 };
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -263,6 +263,7 @@
 OrderPolicy Part::Policy(const Machine& machine) const {
   OrderPolicy policy;
   policy.token = token_;
+  policy.now = context_.now();
   policy.may_start = context_.follower.Fresh() && machine.token_seen &&
                      machine.TakesTasks(context_.now());
   policy.wanted = [this](const HeldTask& task) { return Wanted(task); };
@@ -801,11 +802,13 @@
 }
 
 void Part::Preempt(const std::vector<const Job*>& jobs) {
-  std::set<Victim> victims = ChooseVictims(context_.mirror, context_.deployment,
-                                           jobs, context_.out.now().wall);
+  auto victims = ChooseVictims(context_.mirror, context_.deployment, jobs,
+                               context_.out.now().wall);
   for (auto& [name, machine] : machines_) {
     for (auto& [key, task] : machine.held) {
-      bool chosen = victims.contains({key.first, key.second, task.attempt});
+      auto victim = victims.find({key.first, key.second, task.attempt});
+      bool chosen = victim != victims.end();
+      task.at_once = chosen && victim->second == StopKind::kAtOnce;
       if (chosen && !task.preempted) {
         context_.out.Log(LogLevel::kInfo,
                          "event=preempt job={} task={} machine={} team={}",
--- a/src/core/preemption.cc
+++ b/src/core/preemption.cc
@@ -54,21 +54,33 @@
   return candidates;
 }
 
-void ChooseInTeam(const std::string& team, const Resources& limit,
+// Whether the class is to start within moments.
+bool Hurries(const JobSpec& spec, const Deployment& deployment) {
+  return std::any_of(deployment.objectives.begin(), deployment.objectives.end(),
+                     [&](const Objective& objective) {
+                       return objective.kind == "wait" &&
+                              objective.job_class == spec.job_class;
+                     });
+}
+
+void ChooseInTeam(const std::string& team, const Deployment& deployment,
                   Resources used, const std::vector<const Job*>& jobs,
-                  WallTime now, std::set<Victim>& victims) {
+                  WallTime now, std::map<Victim, StopKind>& victims) {
+  const Resources limit = LimitOf(deployment.teams.at(team));
   std::vector<Candidate> candidates = Candidates(jobs, team, now);
   size_t next = 0;
   for (const Job* job : jobs) {
     const JobSpec& spec = job->spec();
     if (spec.team != team) continue;
+    StopKind kind =
+        Hurries(spec, deployment) ? StopKind::kAtOnce : StopKind::kSave;
     for (int64_t left = job->waiting(); left > 0; --left) {
       while (!(used + spec.need).FitsIn(limit) && next < candidates.size() &&
              candidates[next].priority < static_cast<int>(spec.priority)) {
         const Candidate& chosen = candidates[next++];
         used -= chosen.job->spec().need;
-        victims.insert({chosen.job->spec().id, chosen.assignment.task,
-                        chosen.assignment.attempt});
+        victims[{chosen.job->spec().id, chosen.assignment.task,
+                 chosen.assignment.attempt}] = kind;
       }
       if (!(used + spec.need).FitsIn(limit)) break;
       used += spec.need;
@@ -78,21 +90,20 @@
 
 }  // namespace
 
-std::set<Victim> ChooseVictims(const Mirror& mirror,
-                               const Deployment& deployment,
-                               const std::vector<const Job*>& jobs_in_order,
-                               WallTime now) {
+std::map<Victim, StopKind> ChooseVictims(
+    const Mirror& mirror, const Deployment& deployment,
+    const std::vector<const Job*>& jobs_in_order, WallTime now) {
   std::map<std::string, Resources> used;
   for (const auto& [id, job] : mirror.open_jobs()) {
     used[job->spec().team] +=
         job->spec().need * static_cast<int64_t>(job->assigned);
   }
-  std::set<Victim> victims;
+  std::map<Victim, StopKind> victims;
   for (const auto& [name, use] : used) {
     auto team = deployment.teams.find(name);
     if (team == deployment.teams.end()) continue;
     if (team->second.cpus_limit == 0 && team->second.gpus_limit == 0) continue;
-    ChooseInTeam(name, LimitOf(team->second), use, jobs_in_order, now, victims);
+    ChooseInTeam(name, deployment, use, jobs_in_order, now, victims);
   }
   return victims;
 }
--- a/src/core/preemption.h
+++ b/src/core/preemption.h
@@ -3,7 +3,7 @@
 #define PITCHFALL_CORE_PREEMPTION_H_
 
 #include <compare>
-#include <set>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -20,6 +20,13 @@
   auto operator<=>(const Victim&) const = default;
 };
 
+enum class StopKind : uint8_t {
+  kSave,
+  // Saving takes longer than what waits can: the work since the task's last
+  // checkpoint is given up.
+  kAtOnce,
+};
+
 // Where a team's limit keeps its more important jobs waiting, tasks of its less
 // important ones that can save their progress, as many as are needed. The
 // choice follows from the mirror alone: owners of different parts, who each
@@ -27,10 +34,9 @@
 //
 // Tasks that cannot save are left to finish: stopping them would throw away
 // more than the wait costs.
-std::set<Victim> ChooseVictims(const Mirror& mirror,
-                               const Deployment& deployment,
-                               const std::vector<const Job*>& jobs_in_order,
-                               WallTime now);
+std::map<Victim, StopKind> ChooseVictims(
+    const Mirror& mirror, const Deployment& deployment,
+    const std::vector<const Job*>& jobs_in_order, WallTime now);
 
 }  // namespace pitchfall
 
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -135,7 +135,8 @@
   Reported(TaskState::kRunning, ExitCause::kNone, 2);  // a try of the past
   machine_.report->tasks.push_back(
       {"run-9", 1, 1, TaskState::kExited, ExitCause::kDone});
-  OrderPolicy policy{kToken, true, [](const HeldTask&) { return true; }};
+  auto yes = [](const HeldTask&) { return true; };
+  OrderPolicy policy{kToken, true, SteadyTime(Seconds(100)), yes};
   std::vector<Order> orders = MakeOrders(machine_, policy);
   ASSERT_EQ(orders.size(), 3u);
   EXPECT_EQ(orders[0].op, Order::Op::kStop);
@@ -150,11 +151,32 @@
   EXPECT_TRUE(MakeOrders(machine_, policy).empty());
 }
 
+TEST_F(Proof, WhatIsSavedIsWorthTheSaving) {
+  job_.record.spec.checkpoint = Seconds(20);
+  job_.record.spec.save = Seconds(5);
+  Reported(TaskState::kRunning);
+  task_.preempted = true;
+  auto yes = [](const HeldTask&) { return true; };
+  OrderPolicy policy{kToken, true, SteadyTime(Seconds(100)), yes};
+  auto grace = [&](double running_since_s) {
+    task_.running_since = SteadyTime(Seconds(running_since_s));
+    machine_.held[{"run-1", 0}] = task_;
+    std::vector<Order> orders = MakeOrders(machine_, policy);
+    return orders.size() == 1 ? orders[0].grace : Duration(-1);
+  };
+  EXPECT_EQ(grace(88), Seconds(6));   // 12 s since the start
+  EXPECT_EQ(grace(97), Duration(0));  // 3 s
+  EXPECT_EQ(grace(57), Duration(0));  // 3 s since its second checkpoint
+  task_.at_once = true;
+  EXPECT_EQ(grace(88), Duration(0));
+}
+
 TEST_F(Proof, NothingStartsWhenItMayNotOrIsNotWanted) {
   machine_.held[{"run-1", 0}] = task_;
-  OrderPolicy no_starts{kToken, false, [](const HeldTask&) { return true; }};
+  auto yes = [](const HeldTask&) { return true; };
+  OrderPolicy no_starts{kToken, false, {}, yes};
   EXPECT_TRUE(MakeOrders(machine_, no_starts).empty());
-  OrderPolicy unwanted{kToken, true, [](const HeldTask&) { return false; }};
+  OrderPolicy unwanted{kToken, true, {}, [](const HeldTask&) { return false; }};
   EXPECT_TRUE(MakeOrders(machine_, unwanted).empty());
 }
 
@@ -453,8 +475,14 @@
   auto victims =
       ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d), WallTime());
   ASSERT_EQ(victims.size(), 1u);
-  EXPECT_EQ(victims.begin()->job, "run-1");
-  EXPECT_EQ(victims.begin()->task, 2u);
+  EXPECT_EQ(victims.begin()->first.job, "run-1");
+  EXPECT_EQ(victims.begin()->first.task, 2u);
+  EXPECT_EQ(victims.begin()->second, StopKind::kSave);
+  // A class that is to start within moments cannot wait for the saving.
+  d.objectives.push_back({"wait", "x", Seconds(5), 0.9});
+  victims =
+      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d), WallTime());
+  EXPECT_EQ(victims.begin()->second, StopKind::kAtOnce);
 }
 
 // What goes first because it has waited for long must not be stopped for what
