Descriptions and lists of machines to go keep within a value of the state service

A job whose record could never be stored is refused with 422 and the reason; machines chosen to go that do not fit into one value go next time, those chosen earlier stay.

--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -460,10 +460,9 @@
   context_.out.Log(LogLevel::kInfo,
                    "event=return machines={} target={} have={}", names.size(),
                    target_, count_);
-  for (const std::string& name : context_.mirror.drain()
-                                     ? context_.mirror.drain()->value.machines
-                                     : std::vector<std::string>{}) {
-    names.push_back(name);
+  if (const auto& drain = context_.mirror.drain()) {
+    names.insert(names.begin(), drain->value.machines.begin(),
+                 drain->value.machines.end());
   }
   StoreDrain(std::move(names));
 }
@@ -496,6 +495,13 @@
   std::erase_if(machines, [&](const std::string& name) {
     return !machines_.contains(name);
   });
+  // What does not fit into one value goes next time.
+  size_t bytes = 64;
+  auto end = std::find_if(machines.begin(), machines.end(), [&](const auto& m) {
+    bytes += m.size() + 3;
+    return static_cast<double>(bytes) > context_.deployment.value_kb * 1024;
+  });
+  machines.erase(end, machines.end());
   Transaction txn;
   txn.conditions.push_back({keys::kDrain, stored ? stored->stamp : 0});
   txn.writes.push_back({keys::kDrain, DrainRecord{std::move(machines)}, 0});
--- a/src/core/jobs.cc
+++ b/src/core/jobs.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace pitchfall {
+namespace {
+
+constexpr size_t kRecordNumbers = 2048;
+
+}  // namespace
 
 JobAnswer Describe(const Job& job, bool counts) {
   JobAnswer answer;
@@ -30,6 +35,16 @@
                           const TypesRecord& types) {
   auto team = deployment.teams.find(spec.team);
   if (team == deployment.teams.end()) return "unknown team " + spec.team;
+  // Beside its words a job's record holds some numbers and, in time, owners.
+  size_t words = 2 * spec.id.size() + spec.job_class.size() + spec.team.size() +
+                 spec.image.size() + spec.zone.size();
+  if (spec.types) {
+    for (const std::string& type : *spec.types) words += type.size() + 3;
+  }
+  if (static_cast<double>(words + kRecordNumbers) >
+      deployment.value_kb * 1024) {
+    return "its description is longer than the state service can keep";
+  }
   const Team& limits = team->second;
   // Tasks of an array can run one after another, others only together.
   int64_t at_once = spec.shape == Shape::kArray ? 1 : spec.tasks;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -603,6 +603,21 @@
   EXPECT_EQ(book.Tasks(0, small, now + Seconds(3)), 0);
 }
 
+// Accepted, its record could never be stored.
+TEST(WhyImpossible, NamesADescriptionThatIsTooLong) {
+  Deployment d = OneTeam(0, 0);
+  d.value_kb = 8;
+  TypesRecord types;
+  types.types.push_back({.name = "g8"});
+  types.types[0].capacity = Resources::FromDecimals(8, 0, 32);
+  JobSpec spec = Spec("run-1", 4, 1);
+  EXPECT_EQ(WhyImpossible(spec, d, types), "");
+  spec.types = std::vector<std::string>(400, "a-long-type-name");
+  spec.types->push_back("g8");
+  EXPECT_EQ(WhyImpossible(spec, d, types),
+            "its description is longer than the state service can keep");
+}
+
 TEST(Resources, SumsOfDecimalsStayExact) {
   Resources need = Resources::FromDecimals(0.1, 0, 2.7);
   Resources room = Resources::FromDecimals(1, 0, 27);
