--- a/src/core/jobs.cc
+++ b/src/core/jobs.cc
@@ -2,13 +2,35 @@
 
 #include <algorithm>
 
+#include "core/limits.h"
+
 namespace pitchfall {
 namespace {
 
+// Names of fields, numbers, and the owners of up to kMostChunks chunks.
 constexpr size_t kRecordNumbers = 2048;
 
+// Escaped, in the longest form that the text can take.
+size_t JsonBytes(const std::string& text) {
+  size_t bytes = 2;
+  for (unsigned char c : text) {
+    bytes += c < 0x20 || c >= 0x7f ? 6 : c == '"' || c == '\\' ? 2 : 1;
+  }
+  return bytes;
+}
+
 }  // namespace
 
+size_t RecordBytes(const JobSpec& spec) {
+  size_t words = JsonBytes(spec.id) + JsonBytes(spec.job_class) +
+                 JsonBytes(spec.team) + JsonBytes(spec.image) +
+                 JsonBytes(spec.zone);
+  if (spec.types) {
+    for (const std::string& type : *spec.types) words += JsonBytes(type) + 1;
+  }
+  return words + kRecordNumbers;
+}
+
 JobAnswer Describe(const Job& job, bool counts) {
   JobAnswer answer;
   answer.id = job.spec().id;
@@ -35,14 +57,8 @@
                           const TypesRecord& types) {
   auto team = deployment.teams.find(spec.team);
   if (team == deployment.teams.end()) return "unknown team " + spec.team;
-  // Beside its words a job's record holds some numbers and, in time, owners.
-  size_t words = 2 * spec.id.size() + spec.job_class.size() + spec.team.size() +
-                 spec.image.size() + spec.zone.size();
-  if (spec.types) {
-    for (const std::string& type : *spec.types) words += type.size() + 3;
-  }
-  if (static_cast<double>(words + kRecordNumbers) >
-      deployment.value_kb * 1024) {
+  if (static_cast<double>(RecordBytes(spec)) > deployment.value_kb * 1024 ||
+      RecordBytes(spec) > kTransactionBytes / 2) {
     return "its description is longer than the state service can keep";
   }
   const Team& limits = team->second;
--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -60,6 +60,10 @@
 // The state of a job as its user sees it.
 JobAnswer Describe(const Job& job, bool counts);
 
+// How many bytes the job's record takes as JSON at the most, whatever becomes
+// of it.
+size_t RecordBytes(const JobSpec& spec);
+
 // Whether a job can ever run here; empty, or what stands in its way.
 std::string WhyImpossible(const JobSpec& spec, const Deployment& deployment,
                           const TypesRecord& types);
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -2,6 +2,7 @@
 #ifndef PITCHFALL_CORE_LIMITS_H_
 #define PITCHFALL_CORE_LIMITS_H_
 
+#include <cstddef>
 #include <cstdint>
 
 namespace pitchfall {
@@ -13,6 +14,12 @@
 // of its own the chunk's record still fits into a segment.
 inline constexpr uint32_t kMostInChunk = 96;
 
+// The state service takes this many bytes in a transaction, counted as JSON;
+// the rest of them is for what counting in advance may miss.
+inline constexpr size_t kTransactionBytes = 64 * 1024 * 9 / 10;
+// For each condition or write, its key and the names of its fields.
+inline constexpr size_t kOperationBytes = 100;
+
 }  // namespace pitchfall
 
 #endif  // PITCHFALL_CORE_LIMITS_H_
--- a/src/core/mirror.cc
+++ b/src/core/mirror.cc
@@ -136,7 +136,9 @@
     slot.slot = version.slot;
     return;
   }
+  if (!is_new) CountLive(slot, -1);
   Job::Chunk before = std::exchange(slot, std::move(version));
+  CountLive(slot, 1);
   job.done += CountTasks(slot.record.done) - CountTasks(before.record.done);
   job.assigned += static_cast<uint32_t>(slot.record.assigned.size()) -
                   static_cast<uint32_t>(before.record.assigned.size());
@@ -146,6 +148,13 @@
   Refresh(job);
 }
 
+void Mirror::CountLive(const Job::Chunk& chunk, int sign) {
+  constexpr int64_t kChunk = 40;
+  constexpr int64_t kAssignment = 20;
+  auto assigned = static_cast<int64_t>(chunk.record.assigned.size());
+  live_bytes_[chunk.part] += sign * (kChunk + kAssignment * assigned);
+}
+
 void Mirror::Refresh(Job& job) {
   if (job.open()) {
     open_jobs_[job.spec().id] = &job;
@@ -165,6 +174,7 @@
     for (const auto& [number, chunk] : job->chunks) {
       if (chunk.stamp > revision_) return false;
     }
+    for (const auto& [number, chunk] : job->chunks) CountLive(chunk, -1);
     job->chunks.clear();
     JobSpec spec;
     spec.id = job->spec().id;
@@ -215,6 +225,18 @@
   return it == segments_.end() ? nullptr : &it->second;
 }
 
+uint32_t Mirror::SlotCount(uint32_t part) const {
+  auto next = segments_.lower_bound({part + 1, 0});
+  if (next == segments_.begin()) return 0;
+  const auto& [key, segment] = *std::prev(next);
+  return key.first == part ? key.second + 1 : 0;
+}
+
+size_t Mirror::LiveBytes(uint32_t part) const {
+  auto live = live_bytes_.find(part);
+  return live == live_bytes_.end() ? 0 : static_cast<size_t>(live->second);
+}
+
 const MachineType* Mirror::FindType(const std::string& name) const {
   if (!types_) return nullptr;
   for (const MachineType& type : types_->value.types) {
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -63,6 +63,10 @@
   const Table<TeamRecord>& teams() const { return teams_; }
   const Versioned<PartRecord>* FindPart(uint32_t part) const;
   const Segment* FindSegment(uint32_t part, uint32_t slot) const;
+  // One more than the number of the part's last slot ever written.
+  uint32_t SlotCount(uint32_t part) const;
+  // How many bytes the newest versions of the part's chunks take, about.
+  size_t LiveBytes(uint32_t part) const;
   const std::optional<Versioned<TypesRecord>>& types() const { return types_; }
   const std::optional<Versioned<DrainRecord>>& drain() const { return drain_; }
   bool Draining(const std::string& machine) const {
@@ -86,6 +90,7 @@
   void SetChunk(Job& job, uint32_t chunk, Job::Chunk version);
   void Refresh(Job& job);
   void Settle();
+  void CountLive(const Job::Chunk& chunk, int sign);
   template <typename T>
   static void ApplyTo(Table<T>& table, const std::string& name,
                       const Change& change);
@@ -101,6 +106,7 @@
   // Jobs that are over with nothing bound, of which older news may still come.
   std::set<Job*> closing_;
   std::map<std::pair<uint32_t, uint32_t>, Segment> segments_;  // part, slot
+  std::map<uint32_t, int64_t> live_bytes_;                     // by part
   Table<NodeRecord> nodes_;
   Table<PartRecord> parts_;
   Table<RentalRecord> rentals_;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -30,6 +30,10 @@
 // A start does not count for users if the task is stopped sooner.
 constexpr Duration kLeastRun = Millis(32000);
 constexpr Duration kWorthMoving = Millis(10000);
+// A part's report fits into a value whatever fails.
+constexpr size_t kMostFailing = 100;
+// A small record's, with names of fields.
+constexpr size_t kRecordBytes = 600;
 // Of the largest value; the rest is for what counting in advance may miss.
 constexpr double kValueUse = 0.9;
 
@@ -541,6 +545,11 @@
   return it->second;
 }
 
+bool Part::MayTouch(const Draft& draft, const Job& job, uint32_t chunk) const {
+  return draft.chunks.size() < most_chunks_ ||
+         draft.chunks.contains({job.spec().id, chunk});
+}
+
 void Part::DraftEnds(Draft& draft) {
   SteadyTime now = context_.now();
   for (auto& [name, machine] : machines_) {
@@ -551,7 +560,9 @@
       Verdict verdict = Judge(machine, key, task, token_, wanted);
       if (verdict == Verdict::kHeld) continue;
       const Job& job = *task.job;
-      ChunkRecord& record = Touch(draft, job, job.chunk_of(key.second)).record;
+      uint32_t chunk = job.chunk_of(key.second);
+      if (!MayTouch(draft, job, chunk)) continue;
+      ChunkRecord& record = Touch(draft, job, chunk).record;
       std::erase_if(record.assigned, [&](const Assignment& a) {
         return a.task == key.second && a.attempt == task.attempt &&
                a.machine == name;
@@ -679,6 +690,7 @@
         draft.starting.size() >= most_starting_) {
       return Placed::kNoQuota;
     }
+    if (!MayTouch(draft, job, chunk)) return Placed::kNoQuota;
     Machine* machine =
         ChooseMachine(spec, tasks - CountTasks(taken), use, open, avoid);
     if (machine == nullptr) return Placed::kNoMachine;
@@ -877,6 +889,7 @@
   LoadRecord load;
   load.period = period;
   for (const auto& [id, health] : job_health_) {
+    if (load.failing.size() >= kMostFailing) break;
     if (health.at_fault()) {
       load.failing.push_back(id);
     }
@@ -890,7 +903,6 @@
   for (const auto& [name, machine] : machines_) load.used += machine.used;
   load.started = started_;
   load.waited = waited_;
-  LogLoad(load);
   draft.load = std::move(load);
 }
 
@@ -920,33 +932,23 @@
       LogLevel::kInfo,
       "event=part_load part={} machines={} cpus={:.0f} starting={:.0f} "
       "fetching={:.0f} running={:.0f} ended={:.0f} closed={:.0f} waiting={} "
-      "started={} segment_bytes={}",
+      "started={} segment_bytes={} slots={}",
       number_, machines_.size(), amount(total), amount(starting),
       amount(fetching), amount(running), amount(leaving), amount(draining),
-      load.waiting, load.started, LiveBytes(context_.mirror, number_));
+      load.waiting, load.started, context_.mirror.LiveBytes(number_),
+      context_.mirror.SlotCount(number_));
 }
 
 std::optional<Transaction> Part::MakeTransaction(const Draft& draft) const {
   const Deployment& d = context_.deployment;
   Transaction txn;
+  size_t bytes = 0;  // of all but the segments
+  auto put = [&](std::string key, Record record, size_t size) {
+    bytes += size;
+    txn.writes.push_back({std::move(key), std::move(record), 0});
+  };
   txn.conditions.push_back({keys::Part(number_), token_});
   txn.conditions.push_back({keys::Fence(number_, token_), fence_});
-  if (!draft.chunks.empty()) {
-    std::vector<SegmentRecord::Entry> changed;
-    for (const auto& [key, change] : draft.chunks) {
-      changed.push_back({key.first, key.second, change.record});
-    }
-    auto bytes = static_cast<size_t>(d.value_kb * 1024 * kValueUse);
-    size_t most = d.txn_ops - std::min<size_t>(d.txn_ops, draft.others());
-    auto segments =
-        PlanSegments(context_.mirror, number_, std::move(changed), bytes, most);
-    if (!segments) return std::nullopt;
-    for (SegmentWrite& segment : *segments) {
-      std::string key = keys::Segment(number_, segment.slot);
-      txn.conditions.push_back({key, segment.stamp});
-      txn.writes.push_back({key, std::move(segment.segment), 0});
-    }
-  }
   // A start must not be stored after a cancellation, nor in a chunk that has
   // been given away.
   std::map<std::string, uint64_t> jobs;
@@ -957,40 +959,76 @@
     JobRecord record = job->record;
     record.state = JobState::kDone;
     record.owners.clear();
-    txn.writes.push_back({keys::Job(id), std::move(record), 0});
+    put(keys::Job(id), std::move(record), RecordBytes(job->spec()));
   }
   for (const auto& [id, owners] : draft.moves) {
     const Job* job = context_.mirror.FindJob(id);
     jobs[id] = job->stamp;
     JobRecord record = job->record;
     record.owners = owners;
-    txn.writes.push_back({keys::Job(id), std::move(record), 0});
+    put(keys::Job(id), std::move(record), RecordBytes(job->spec()));
   }
   for (const auto& [id, stamp] : jobs) {
     txn.conditions.push_back({keys::Job(id), stamp});
   }
   if (draft.load) {
-    txn.writes.push_back({keys::Load(number_), *draft.load, 0});
+    size_t failing = 0;
+    for (const std::string& id : draft.load->failing) failing += id.size() + 3;
+    put(keys::Load(number_), *draft.load, kRecordBytes + failing);
   }
   for (const auto& [name, record] : draft.teams) {
     auto stored = context_.mirror.teams().find(name);
     txn.conditions.push_back(
         {keys::Team(name),
          stored == context_.mirror.teams().end() ? 0 : stored->second.stamp});
-    txn.writes.push_back({keys::Team(name), record, 0});
+    put(keys::Team(name), record, kRecordBytes * (1 + record.parts.size() / 8));
+  }
+  if (draft.chunks.empty()) return txn;
+  std::vector<SegmentRecord::Entry> changed;
+  for (const auto& [key, change] : draft.chunks) {
+    changed.push_back({key.first, key.second, change.record});
+  }
+  SegmentLimits limits;
+  limits.value_bytes = static_cast<size_t>(d.value_kb * 1024 * kValueUse);
+  limits.writes = d.txn_ops - std::min<size_t>(d.txn_ops, draft.others());
+  bytes += kOperationBytes *
+           (txn.conditions.size() + txn.writes.size() + 2 * limits.writes);
+  limits.total_bytes = kTransactionBytes - std::min(kTransactionBytes, bytes);
+  auto segments =
+      PlanSegments(context_.mirror, number_, std::move(changed), limits);
+  if (!segments) return std::nullopt;
+  for (SegmentWrite& segment : *segments) {
+    std::string key = keys::Segment(number_, segment.slot);
+    txn.conditions.push_back({key, segment.stamp});
+    txn.writes.push_back({key, std::move(segment.segment), 0});
   }
   return txn;
 }
 
-void Part::Plan() {
-  SteadyTime now = context_.now();
-  next_plan_ = now + kPlanGap;
-  dirty_ = false;
+void Part::ForgetPlanned() {
   for (auto& [name, machine] : machines_) {
     machine.planned = {};
     machine.planned_images.clear();
   }
   team_planned_.clear();
+}
+
+Part::Draft Part::MakeDraft(const std::vector<const Job*>& jobs) {
+  ForgetPlanned();
+  Draft draft;
+  DraftEnds(draft);
+  DraftFinishedJobs(draft);
+  DraftLoad(draft);
+  DraftStarts(draft, jobs);
+  DraftGiveBack(draft);
+  return draft;
+}
+
+void Part::Plan() {
+  SteadyTime now = context_.now();
+  next_plan_ = now + kPlanGap;
+  dirty_ = false;
+  ForgetPlanned();
   // One token is for the segment. What goes beyond the tokens at hand is
   // borrowed, so that a finished job need not wait until nothing else changes.
   double tokens = context_.writes.Available(now);
@@ -1011,28 +1049,26 @@
         job->spec().need * static_cast<int64_t>(job->assigned);
   }
   Preempt(jobs);
-  Draft draft;
-  DraftEnds(draft);
-  DraftFinishedJobs(draft);
-  DraftLoad(draft);
-  if (!full_) DraftStarts(draft, jobs);
-  DraftGiveBack(draft);
+  Draft draft = MakeDraft(jobs);
+  std::optional<Transaction> txn = MakeTransaction(draft);
+  // Ends free room and are the last to be left out, but there may be more of
+  // them than one transaction takes: then half as many, until they fit.
+  while (!txn && draft.chunks.size() > 1) {
+    most_chunks_ = draft.chunks.size() / 2;
+    draft = MakeDraft(jobs);
+    txn = MakeTransaction(draft);
+  }
   if (draft.empty()) {
-    full_ = false;
     AnswerReports(now);
     return;
   }
-  std::optional<Transaction> txn = MakeTransaction(draft);
   if (!txn) {
-    full_ = true;
     dirty_ = true;
-    context_.out.Log(LogLevel::kWarning,
-                     "event=segments_full part={} chunks={} starts={}", number_,
-                     draft.chunks.size(), draft.starts);
+    context_.out.Log(LogLevel::kError, "event=segments_full part={} bytes={}",
+                     number_, context_.mirror.LiveBytes(number_));
     AnswerReports(now);
     return;
   }
-  full_ = false;
   Store(std::move(draft), std::move(*txn));
 }
 
@@ -1067,6 +1103,7 @@
   if (refused_) {
     // Larger than the service takes, by a limit that is not known here: what is
     // decided next is little, so that at least something gets through.
+    most_chunks_ = std::max<size_t>(1, draft.chunks.size() / 2);
     context_.out.Log(LogLevel::kError,
                      "event=write_refused part={} writes={} conditions={}",
                      number_, txn.writes.size(), txn.conditions.size());
@@ -1078,6 +1115,9 @@
       context_.mirror.Apply({write.key, write.value, reply.revision});
     }
     Remember(draft);
+    // As many as fit again, by and by.
+    most_chunks_ =
+        draft.chunks.size() < most_chunks_ ? kAnyNumber : 2 * most_chunks_;
     AnswerReports(started);
     return;
   }
@@ -1140,6 +1180,7 @@
 void Part::Remember(const Draft& draft) {
   SteadyTime now = context_.now();
   if (draft.load) {
+    LogLoad(*draft.load);
     reported_period_ = draft.load->period;
     started_ = 0;
     waited_ = Duration(0);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -49,6 +49,7 @@
 
  private:
   using ChunkKey = Mirror::ChunkKey;
+  static constexpr size_t kAnyNumber = SIZE_MAX;
 
   // Changes to be stored together.
   struct Draft {
@@ -79,7 +80,10 @@
   // How many puts the next transaction may have beside one segment.
   size_t draft_limit_ = 0;
   size_t most_starting_ = 0;  // jobs whose tasks it may start
-  bool refused_ = false;      // the last one was too large
+  // Chunks that it may change. Thousands of tasks may end at one moment, more
+  // than a transaction takes: the rest is left to the next.
+  size_t most_chunks_ = kAnyNumber;
+  bool refused_ = false;  // the last one was too large
 
   struct JobHealth {
     std::set<std::string> failed_on;
@@ -116,11 +120,15 @@
 
   void WalkMachines();
   void Plan();
+  // What should be stored next.
+  Draft MakeDraft(const std::vector<const Job*>& jobs);
+  void ForgetPlanned();
   void RaiseFence();
   // Adds this period's report to what is stored next.
   void DraftLoad(Draft& draft);
   void LogLoad(const LoadRecord& load) const;
   Draft::ChunkChange& Touch(Draft& draft, const Job& job, uint32_t chunk);
+  bool MayTouch(const Draft& draft, const Job& job, uint32_t chunk) const;
   void DraftEnds(Draft& draft);
   void DraftFinishedJobs(Draft& draft);
   void DraftStarts(Draft& draft, const std::vector<const Job*>& jobs);
@@ -181,7 +189,6 @@
   bool dirty_ = true;
   SteadyTime next_plan_{};
   SteadyTime next_walk_{};
-  bool full_ = false;  // the segments: nothing starts until something ends
   bool deleting_ = false;
   SteadyTime next_delete_{};
   bool reaching_ = false;
--- a/src/core/segments.cc
+++ b/src/core/segments.cc
@@ -37,11 +37,25 @@
   return over ? nullptr : job;
 }
 
-// Oldest first: the order in which the ring is overwritten.
+// A ring has room for this many times what is in use in it.
+constexpr size_t kSpareRing = 4;
+
+// How many slots the part's ring has or should get. It never shrinks: slots
+// that were written are read again after a takeover.
+uint32_t RingSlots(const Mirror& mirror, uint32_t part, size_t value_bytes) {
+  size_t wanted = kSpareRing * mirror.LiveBytes(part) / value_bytes;
+  wanted = std::clamp<size_t>(wanted, kLeastSlots, kMostSlots);
+  return std::max(static_cast<uint32_t>(wanted), mirror.SlotCount(part));
+}
+
+// Oldest first: the order in which the ring is overwritten. Slots that were
+// never written come before all others.
 std::vector<std::pair<uint64_t, uint32_t>> SlotsByAge(const Mirror& mirror,
-                                                      uint32_t part) {
+                                                      uint32_t part,
+                                                      uint32_t count) {
   std::vector<std::pair<uint64_t, uint32_t>> slots;
-  for (uint32_t slot = 0; slot < kRingSlots; ++slot) {
+  slots.reserve(count);
+  for (uint32_t slot = 0; slot < count; ++slot) {
     const Mirror::Segment* segment = mirror.FindSegment(part, slot);
     slots.push_back({segment == nullptr ? 0 : segment->stamp, slot});
   }
@@ -50,17 +64,20 @@
 }
 
 std::optional<std::vector<SegmentRecord>> Fill(
-    const std::vector<SegmentRecord::Entry>& entries, size_t value_bytes,
-    size_t most) {
+    const std::vector<SegmentRecord::Entry>& entries,
+    const SegmentLimits& limits) {
   std::vector<SegmentFiller> fillers;
   for (const SegmentRecord::Entry& entry : entries) {
     bool placed = std::any_of(fillers.begin(), fillers.end(),
                               [&](SegmentFiller& f) { return f.Add(entry); });
     if (placed) continue;
-    if (fillers.size() >= most) return std::nullopt;
-    fillers.emplace_back(value_bytes);
+    if (fillers.size() >= limits.writes) return std::nullopt;
+    fillers.emplace_back(limits.value_bytes);
     if (!fillers.back().Add(entry)) return std::nullopt;
   }
+  size_t total = 0;
+  for (const SegmentFiller& filler : fillers) total += filler.size();
+  if (total > limits.total_bytes) return std::nullopt;
   std::vector<SegmentRecord> segments;
   for (const SegmentFiller& filler : fillers) {
     segments.push_back(filler.segment());
@@ -105,13 +122,13 @@
 
 std::optional<std::vector<SegmentWrite>> PlanSegments(
     const Mirror& mirror, uint32_t part,
-    std::vector<SegmentRecord::Entry> changed, size_t value_bytes,
-    size_t most) {
+    std::vector<SegmentRecord::Entry> changed, const SegmentLimits& limits) {
   std::set<Mirror::ChunkKey> here;
   for (const auto& entry : changed) here.insert({entry.job, entry.chunk});
-  auto slots = SlotsByAge(mirror, part);
+  auto slots =
+      SlotsByAge(mirror, part, RingSlots(mirror, part, limits.value_bytes));
   std::vector<SegmentWrite> writes;
-  while (writes.size() < std::min<size_t>(most, kRingSlots)) {
+  while (writes.size() < std::min(limits.writes, slots.size())) {
     const auto& [stamp, slot] = slots[writes.size()];
     if (const Mirror::Segment* old = mirror.FindSegment(part, slot)) {
       for (const Mirror::ChunkKey& key : old->chunks) {
@@ -122,7 +139,9 @@
       }
     }
     writes.push_back({slot, stamp, {}});
-    auto filled = Fill(changed, value_bytes, writes.size());
+    SegmentLimits here_limits = limits;
+    here_limits.writes = writes.size();
+    auto filled = Fill(changed, here_limits);
     if (!filled) continue;
     for (size_t i = 0; i < filled->size(); ++i) {
       writes[i].segment = std::move((*filled)[i]);
@@ -132,19 +151,4 @@
   return std::nullopt;
 }
 
-size_t LiveBytes(const Mirror& mirror, uint32_t part) {
-  size_t bytes = 0;
-  for (uint32_t slot = 0; slot < kRingSlots; ++slot) {
-    const Mirror::Segment* segment = mirror.FindSegment(part, slot);
-    if (segment == nullptr) continue;
-    for (const Mirror::ChunkKey& key : segment->chunks) {
-      const Job* job = LiveIn(mirror, key, part, slot);
-      if (job == nullptr) continue;
-      const ChunkRecord& record = job->FindChunk(key.second)->record;
-      bytes += 40 + 20 * record.assigned.size();
-    }
-  }
-  return bytes;
-}
-
 }  // namespace pitchfall
--- a/src/core/segments.h
+++ b/src/core/segments.h
@@ -27,8 +27,11 @@
 
 namespace pitchfall {
 
-// Many, so that little of what is in use lies in the one overwritten next.
-inline constexpr uint32_t kRingSlots = 32;
+// A ring begins with so many slots. It grows with what it holds, so that little
+// of what is in use lies in the slot overwritten next: a ring that is full of
+// it takes nothing more, not even the end of a task.
+inline constexpr uint32_t kLeastSlots = 32;
+inline constexpr uint32_t kMostSlots = 4096;
 
 // Fills one segment up to a size, counted as the service counts it.
 class SegmentFiller {
@@ -54,7 +57,12 @@
 
 // The segments to write so that `changed` is stored and nothing is lost: which
 // slots of the part's ring, and what goes into each. None if that takes more
-// than `most` of them.
+// than the limits allow.
+struct SegmentLimits {
+  size_t value_bytes = 0;  // of each
+  size_t total_bytes = 0;  // of all together
+  size_t writes = 0;       // how many
+};
 struct SegmentWrite {
   uint32_t slot = 0;
   uint64_t stamp = 0;  // of what is overwritten
@@ -62,10 +70,7 @@
 };
 std::optional<std::vector<SegmentWrite>> PlanSegments(
     const Mirror& mirror, uint32_t part,
-    std::vector<SegmentRecord::Entry> changed, size_t value_bytes, size_t most);
-
-// How many bytes the part's chunks in use take, about.
-size_t LiveBytes(const Mirror& mirror, uint32_t part);
+    std::vector<SegmentRecord::Entry> changed, const SegmentLimits& limits);
 
 }  // namespace pitchfall
 
--- a/src/core/users.cc
+++ b/src/core/users.cc
@@ -212,6 +212,7 @@
   double spare = patient ? 0 : -kSubmissionDebt;
   Transaction txn;
   std::vector<Change> batch;
+  size_t bytes = 0;
   while (!queue_.empty() && batch.size() < context_.deployment.txn_ops) {
     Change& change = queue_.front();
     const Job* job = context_.mirror.FindJob(change.job);
@@ -226,6 +227,9 @@
       queue_.pop_front();
       continue;
     }
+    const JobSpec& spec = change.cancel ? job->spec() : change.spec;
+    bytes += RecordBytes(spec) + 2 * kOperationBytes;
+    if (!batch.empty() && bytes > kTransactionBytes) break;
     if (!context_.writes.Take(now, 1, change.cancel ? -2 : spare)) break;
     if (change.cancel) {
       JobRecord record = job->record;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -47,7 +47,7 @@
   ChunkRecord record;
   record.assigned = std::move(assigned);
   for (uint32_t task = 0; task < done; ++task) AddTask(record.done, task);
-  return {keys::Segment(0, static_cast<uint32_t>(stamp % kRingSlots)),
+  return {keys::Segment(0, static_cast<uint32_t>(stamp % kLeastSlots)),
           SegmentRecord{{{id, chunk, std::move(record)}}}, stamp};
 }
 
@@ -325,7 +325,7 @@
       });
       changed.push_back({key.first, key.second, record});
     }
-    auto writes = PlanSegments(writer, 0, changed, kBytes, 8);
+    auto writes = PlanSegments(writer, 0, changed, {kBytes, 8 * kBytes, 8});
     ASSERT_TRUE(writes);
     for (SegmentWrite& write : *writes) {
       Change change{keys::Segment(0, write.slot), write.segment, stamp};
@@ -345,7 +345,46 @@
       EXPECT_EQ(chunk->record, record);
     }
   }
-  EXPECT_EQ(stored.size(), kRingSlots);
+  EXPECT_EQ(stored.size(), kLeastSlots);
+}
+
+// A part whose machines hold far more tasks than the ring's first slots can
+// say: every change still finds room, ends too, and as little is copied forward
+// as in a ring with room to spare.
+TEST(Segments, TheRingGrowsWithWhatItHolds) {
+  constexpr size_t kBytes = 2000;
+  constexpr uint32_t kJobs = 800;
+  Mirror mirror;
+  uint64_t stamp = 0;
+  for (uint32_t job = 0; job < kJobs; ++job) {
+    mirror.Apply(JobChange(Spec("run-" + std::to_string(job), 8, 1), ++stamp));
+  }
+  size_t copied = 0;
+  auto store = [&](uint32_t job, uint32_t tasks) {
+    ChunkRecord record;
+    record.next_attempt = static_cast<uint32_t>(stamp);
+    for (uint32_t t = 0; t < tasks; ++t) {
+      record.assigned.push_back({t, 1, "m-" + std::to_string(job), "a"});
+    }
+    auto writes =
+        PlanSegments(mirror, 0, {{"run-" + std::to_string(job), 0, record}},
+                     {kBytes, 8 * kBytes, 8});
+    ASSERT_TRUE(writes) << job;
+    ++stamp;
+    for (SegmentWrite& write : *writes) {
+      copied += write.segment.entries.size();
+      mirror.Apply({keys::Segment(0, write.slot), write.segment, stamp});
+    }
+    copied -= 1;
+    mirror.AdvanceTo(stamp);
+  };
+  for (uint32_t job = 0; job < kJobs; ++job) store(job, 8);
+  EXPECT_GT(mirror.LiveBytes(0), kLeastSlots * kBytes);
+  EXPECT_GT(mirror.SlotCount(0), 2 * kLeastSlots);
+  copied = 0;
+  for (uint32_t job = 0; job < kJobs; ++job) store(job, 0);
+  EXPECT_LT(copied, 12 * kJobs);
+  EXPECT_EQ(mirror.LiveBytes(0), kJobs * 40);
 }
 
 TEST(Segments, WhatDoesNotFitIsRefusedWhole) {
@@ -356,9 +395,10 @@
   }
   std::vector<SegmentRecord::Entry> changed{{"run-1", 0, record},
                                             {"run-2", 0, record}};
-  EXPECT_EQ(PlanSegments(mirror, 0, changed, 4000, 8)->size(), 2u);
-  EXPECT_FALSE(PlanSegments(mirror, 0, changed, 4000, 1));
-  EXPECT_FALSE(PlanSegments(mirror, 0, changed, 500, 8));
+  EXPECT_EQ(PlanSegments(mirror, 0, changed, {4000, 8000, 8})->size(), 2u);
+  EXPECT_FALSE(PlanSegments(mirror, 0, changed, {4000, 8000, 1}));
+  EXPECT_FALSE(PlanSegments(mirror, 0, changed, {500, 8000, 8}));
+  EXPECT_FALSE(PlanSegments(mirror, 0, changed, {4000, 4500, 8}));
 }
 
 // ---- Order, room, preemption ----
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -23,8 +23,8 @@
   Deployment d;
   d.state_rps = 200;
   d.state_writes = 60;
-  d.value_kb = 8;
-  d.txn_ops = 8;
+  d.value_kb = config.value_kb;
+  d.txn_ops = config.txn_ops;
   d.cloud_rps = 8;
   d.list_lag = Seconds(2);
   d.report = Seconds(config.report_s);
@@ -88,7 +88,8 @@
     : config_(config),
       random_(config.seed),
       deployment_(MakeDeployment(config)),
-      state_(standins::StateService::Limits{8, 8, 10000}),
+      state_(standins::StateService::Limits{config.txn_ops, config.value_kb,
+                                            10000}),
       cloud_(standins::Cloud::Config{.capacity = config.capacity}) {
   state_.ignore_conditions = config_.state_ignores_conditions;
   cloud_.on_rent = [this](const standins::Cloud::Machine& machine) {
@@ -116,6 +117,7 @@
     After(Seconds(30), [this] { DeafenMachines(); });
   if (config_.isolate_a_node) After(Seconds(30), [this] { IsolateNode(); });
   if (config_.crowded) AddCrowd();
+  if (config_.wide_jobs > 0) AddWideJobs();
   After(Seconds(1), [this] { CheckForgotten(); });
 }
 
@@ -248,7 +250,13 @@
 void World::Execute(Node& node, Command command) {
   std::vector<Command> batch{std::move(command)};
   std::vector<Effect> effects = node.controller->Handle(ClockOf(node), batch);
-  for (const Effect& effect : effects) Perform(node, effect);
+  size_t worker_calls = 0;
+  for (const Effect& effect : effects) {
+    worker_calls += std::holds_alternative<WorkerCall>(effect);
+    state_calls_ += std::holds_alternative<StateCall>(effect);
+    Perform(node, effect);
+  }
+  most_worker_calls_ = std::max(most_worker_calls_, worker_calls);
 }
 
 void World::Perform(Node& node, const Effect& effect) {
@@ -454,7 +462,7 @@
   if (!box.waiting && !box.worker->hanging && now_ >= box.next_report) {
     Report(name);
   }
-  After(Millis(50), [this, name] { StepMachine(name); });
+  After(Seconds(config_.machine_step_s), [this, name] { StepMachine(name); });
 }
 
 void World::Report(const std::string& name) {
@@ -519,6 +527,7 @@
   }
   if (event == standins::Worker::TaskEvent::kOff) {
     where.erase(machine);
+    if (where.empty()) task_on_.erase(task);
     return;
   }
   ++starts_;
@@ -560,6 +569,8 @@
 }
 
 void World::CheckCancelled() {
+  if (now_ < next_cancel_check_) return;
+  next_cancel_check_ = now_ + Millis(20);
   for (const auto& [task, machines] : task_on_) {
     if (machines.empty()) continue;
     const JobModel& job = *jobs_.at(task.substr(0, task.rfind('/')));
@@ -883,25 +894,42 @@
   });
 }
 
+World::JobModel& World::AddPlainJob(const std::string& id, uint32_t tasks,
+                                    double run) {
+  auto job = std::make_unique<JobModel>();
+  JobSpec& spec = job->spec;
+  spec.id = id;
+  spec.job_class = "plain";
+  spec.team = "red";
+  spec.tasks = tasks;
+  job->info = {.cpus = 2, .memory_gb = 2.7, .image = "img-0"};
+  job->info.run = Seconds(run);
+  spec.need = Resources::FromDecimals(2, 0, 2.7);
+  spec.image = "img-0";
+  spec.estimate = Seconds(run);
+  spec.spot = true;
+  return *(jobs_[id] = std::move(job));
+}
+
+// Every machine is full of tasks that run for a minute, and all controllers are
+// away when these end.
+void World::AddWideJobs() {
+  for (int i = 0; i < config_.wide_jobs; ++i) {
+    std::string id = fmt::format("run-8{:05}", i);
+    AddPlainJob(id, 500, 60);
+    After(Seconds(1), [this, id] {
+      jobs_[id]->submitted = true;
+      TrySubmit(id, now_);
+    });
+  }
+}
+
 // A cluster that is full for good: urgent small jobs of the team use up its
 // limit, and one large job of no importance wants some of it too.
 void World::AddCrowd() {
   auto add = [this](const std::string& id, Priority priority, uint32_t tasks,
                     double run, double at) {
-    auto job = std::make_unique<JobModel>();
-    JobSpec& spec = job->spec;
-    spec.id = id;
-    spec.job_class = "crowd";
-    spec.team = "red";
-    spec.priority = priority;
-    spec.tasks = tasks;
-    job->info = {.cpus = 2, .memory_gb = 2.7, .image = "img-0"};
-    job->info.run = Seconds(run);
-    spec.need = Resources::FromDecimals(2, 0, 2.7);
-    spec.image = "img-0";
-    spec.estimate = Seconds(run);
-    spec.spot = true;
-    jobs_[id] = std::move(job);
+    AddPlainJob(id, tasks, run).spec.priority = priority;
     After(Seconds(at), [this, id] {
       jobs_[id]->submitted = true;
       TrySubmit(id, now_);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -56,6 +56,12 @@
   double longest_down_s = 4;
   // Besides: one large unimportant job at the start, and urgent ones for ever.
   bool crowded = false;
+  // At the start a few jobs of hundreds of tasks that all end at one moment.
+  int wide_jobs = 0;
+  // How often a machine looks at its tasks; large fleets do so less often.
+  double machine_step_s = 0.05;
+  uint32_t txn_ops = 8;
+  double value_kb = 8;
   // Faults put in on purpose, to show that the checks notice.
   bool state_ignores_conditions = false;
   bool workers_ignore_stops = false;
@@ -85,6 +91,11 @@
   bool isolated_said_unhealthy() const { return isolated_said_unhealthy_; }
   // Seconds from its submission to the first start of the large job's tasks.
   std::optional<double> large_begun_after() const { return large_begun_; }
+  size_t largest_transaction() const { return state_.largest_transaction(); }
+  size_t machines() const { return machines_.size(); }
+  // The most calls to workers that one turn of a controller made.
+  size_t most_worker_calls() const { return most_worker_calls_; }
+  uint64_t state_calls() const { return state_calls_; }
 
  private:
   struct Node;
@@ -146,6 +157,8 @@
   void DeafenMachines();
   void IsolateNode();
   void AddCrowd();
+  void AddWideJobs();
+  JobModel& AddPlainJob(const std::string& id, uint32_t tasks, double run);
   void NoteAnswered(JobModel& job);
   void CheckForgotten();
   void CheckAssignments(const Transaction& txn);
@@ -170,6 +183,9 @@
   Deployment deployment_;
   standins::StateService state_;
   standins::Cloud cloud_;
+  SteadyTime next_cancel_check_{};
+  size_t most_worker_calls_ = 0;
+  uint64_t state_calls_ = 0;
   bool state_outage_ = false;
   SteadyTime state_slow_until_{};
   SteadyTime peers_refused_until_{};
--- a/tests/sim_test.cc
+++ b/tests/sim_test.cc
@@ -86,6 +86,37 @@
   }
 }
 
+// Two thousand machines under one controller, each full of tasks, which end all
+// at once: what has to be stored then is far more than a transaction takes, and
+// a part whose every draft is too large would stand still for ever.
+TEST(LargeFleet, ManyEndsAtOnceFitIntoTransactions) {
+  WorldConfig config;
+  config.nodes = 1;
+  config.jobs = 0;
+  config.wide_jobs = 16;
+  config.team_limit = 100000;
+  config.capacity = 500;
+  config.report_s = 5;
+  config.machine_step_s = 0.5;
+  config.trouble_every = Duration(0);
+  config.lost_reply = config.late_copy = config.late_report = 0;
+  config.txn_ops = 20;
+  config.value_kb = 16;
+  config.end = Seconds(240);
+  World world(config);
+  world.Run();
+  EXPECT_TRUE(world.violations().empty()) << Told(world);
+  EXPECT_EQ(world.accepted(), config.wide_jobs);
+  EXPECT_EQ(world.finished(), config.wide_jobs) << Told(world);
+  EXPECT_LE(world.largest_transaction(), 64u * 1024);
+  // Some 8,000 tasks start and end: writes carry many of them each.
+  EXPECT_LT(world.state_calls(), 8000u);
+  for (const std::string& line : world.log()) {
+    EXPECT_EQ(line.find("write_refused"), std::string::npos) << line;
+    EXPECT_EQ(line.find("segments_full"), std::string::npos) << line;
+  }
+}
+
 // Its reports arrive, answers and commands do not: the machine is recognised by
 // what its reports fail to show, and its tasks run elsewhere.
 TEST(DeafMachine, IsDeletedAndItsWorkMoves) {
--- a/tests/standins/state_service.cc
+++ b/tests/standins/state_service.cc
@@ -16,6 +16,7 @@
 constexpr size_t kItems = 100000;
 constexpr size_t kDepth = 32;
 constexpr size_t kMostTransaction = 64 * 1024;
+constexpr size_t kMostPage = 512 * 1024;
 
 std::string Repack(const msgpack::object& value) {
   msgpack::sbuffer buffer;
@@ -23,6 +24,31 @@
   return {buffer.data(), buffer.size()};
 }
 
+// As the protocol counts sizes.
+size_t JsonSize(const msgpack::object& value) {
+  size_t size = 2;
+  switch (value.type) {
+    case msgpack::type::MAP:
+      for (uint32_t i = 0; i < value.via.map.size; ++i) {
+        size += JsonSize(value.via.map.ptr[i].key) +
+                JsonSize(value.via.map.ptr[i].val) + 2;
+      }
+      return size;
+    case msgpack::type::ARRAY:
+      for (uint32_t i = 0; i < value.via.array.size; ++i) {
+        size += JsonSize(value.via.array.ptr[i]) + 1;
+      }
+      return size;
+    case msgpack::type::STR:
+      return size + value.via.str.size;
+    case msgpack::type::POSITIVE_INTEGER:
+    case msgpack::type::NEGATIVE_INTEGER:
+      return std::to_string(value.via.i64).size();
+    default:
+      return 8;
+  }
+}
+
 HttpReply WithRevision(int status, uint64_t revision) {
   Packer out;
   out.Map(1).Pair("ledger", revision);
@@ -109,8 +135,12 @@
 }
 
 HttpReply StateService::Transact(const std::string& body, SteadyTime) {
-  if (body.size() > kMostTransaction) return Error(400, "too large");
   Message message(body, kItems, kDepth);
+  largest_transaction_ =
+      std::max(largest_transaction_, JsonSize(message.root()));
+  if (JsonSize(message.root()) > kMostTransaction) {
+    return Error(400, "too large");
+  }
   Fields in(message.root());
   const auto& writes = in.List("writes");
   const auto& conditions = in.List("if");
@@ -134,7 +164,7 @@
     }
     const msgpack::object* value = write.Find("v");
     if (value != nullptr &&
-        static_cast<double>(Repack(*value).size()) > limits_.value_kb * 1024) {
+        static_cast<double>(JsonSize(*value)) > limits_.value_kb * 1024) {
       return Error(400, "value too large");
     }
   }
@@ -166,9 +196,11 @@
   size_t most = query.contains("most") ? std::stoul(query.at("most")) : 1000;
   std::vector<std::pair<std::string, Entry>> rows;
   bool more = false;
+  size_t bytes = 0;
   for (const auto& [key, entry] : entries_) {
     if (!key.starts_with(prefix) || key <= after) continue;
-    if (rows.size() >= most) {
+    bytes += key.size() + entry.value.size();
+    if (rows.size() >= most || (!rows.empty() && bytes > kMostPage)) {
       more = true;
       break;
     }
--- a/tests/standins/state_service.h
+++ b/tests/standins/state_service.h
@@ -41,6 +41,8 @@
 
   const std::map<std::string, Entry>& entries() const { return entries_; }
   uint64_t revision() const { return revision_; }
+  // Of all that were sent, refused or not, counted as JSON.
+  size_t largest_transaction() const { return largest_transaction_; }
   // A fault for tests of the tests: conditions hold no matter what.
   bool ignore_conditions = false;
 
@@ -62,6 +64,7 @@
   void Drop(const std::string& key);
 
   Limits limits_;
+  size_t largest_transaction_ = 0;
   uint64_t revision_ = 0;
   uint64_t last_lease_ = 0;
   std::map<std::string, Entry> entries_;
