--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -1053,8 +1053,8 @@
   std::optional<Transaction> txn = MakeTransaction(draft);
   // Ends free room and are the last to be left out, but there may be more of
   // them than one transaction takes: then half as many, until they fit.
-  while (!txn && draft.chunks.size() > 1) {
-    most_chunks_ = draft.chunks.size() / 2;
+  while (!txn && most_chunks_ > 1 && !draft.chunks.empty()) {
+    most_chunks_ = std::min(most_chunks_, draft.chunks.size() + 1) / 2;
     draft = MakeDraft(jobs);
     txn = MakeTransaction(draft);
   }
