--- a/src/cli/deployment_file.cc
+++ b/src/cli/deployment_file.cc
@@ -163,14 +163,16 @@
   Table state = cluster.Child("state");
   d.state_rps = state.Number("rps", 1, kMost);
   d.state_writes = state.Number("write_rps", 1, kMost);
-  d.value_kb = state.Number("value_kb", 1, kMost);
+  // A chunk with each task on a machine of its own takes one value.
+  d.value_kb = state.Number("value_kb", 5, kMost);
   d.txn_ops = static_cast<uint32_t>(state.Number("txn_ops", 2, 1e6));
   Table cloud = cluster.Child("cloud");
   d.cloud_rps = cloud.Number("rps", 0.1, kMost);
   d.list_lag = Seconds(cloud.NumberOr("list_lag_s", 0, kMost, 0));
   Table resources = cluster.Child("resources");
-  d.sockets =
-      static_cast<uint32_t>(resources.NumberOr("sockets", 16, 1e6, 1024));
+  double peers = static_cast<double>(d.peers.size());
+  d.sockets = static_cast<uint32_t>(
+      resources.NumberOr("sockets", 96 + 4 * peers, 1e6, 1024));
   return d;
 }
 
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -332,8 +332,14 @@
   // Jobs that must not run on spot machines need enough of the others, and
   // every job at least one machine that it may run on.
   int ordinary = Pending(true);
+  std::set<Offer> kinds;  // of which there is at least one
   for (const auto& [name, known] : machines_) {
-    if (!known.offer.spot && !context_.mirror.Draining(name)) ++ordinary;
+    if (context_.mirror.Draining(name)) continue;
+    if (!known.offer.spot) ++ordinary;
+    if (known.status != MachineStatus::kFailed) kinds.insert(known.offer);
+  }
+  for (const auto& [name, rental] : context_.mirror.rentals()) {
+    kinds.insert({rental.value.type, rental.value.zone, rental.value.spot});
   }
   double needed = MachinesFor(demand.ordinary_only);
   if (needed > ordinary) {
@@ -342,16 +348,9 @@
   }
   for (const Job* job : demand.waiting_jobs) {
     const JobSpec& spec = job->spec();
-    bool served = false;
-    for (const auto& [name, known] : machines_) {
-      served |= !context_.mirror.Draining(name) &&
-                known.status != MachineStatus::kFailed &&
-                Serves(spec, known.offer);
-    }
-    for (const auto& [name, rental] : context_.mirror.rentals()) {
-      served |= Serves(
-          spec, {rental.value.type, rental.value.zone, rental.value.spot});
-    }
+    bool served =
+        std::any_of(kinds.begin(), kinds.end(),
+                    [&](const Offer& offer) { return Serves(spec, offer); });
     if (!served) {
       RentFor(*job);
       return;
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -1,6 +1,5 @@
 #include "core/follower.h"
 
-#include <memory>
 #include <utility>
 
 namespace pitchfall {
@@ -19,7 +18,7 @@
   if (loaded_) {
     StartWatch();
   } else {
-    StartList("", std::make_shared<Mirror>(), 0);
+    StartList();
   }
 }
 
@@ -44,36 +43,44 @@
                  });
 }
 
-void Follower::StartList(std::string after, std::shared_ptr<Mirror> fresh,
-                         uint64_t revision) {
-  out_.CallState(ListRead{std::move(after)}, tuning_.state_timeout,
-                 [this, fresh, revision](const StateReply& reply) {
-                   if (reply.status != 200) {
-                     Finish(false);
-                     return;
-                   }
-                   for (const Change& row : reply.changes) fresh->Apply(row);
-                   // Later pages may be newer than the first: the watch goes on
-                   // from the first page's revision and brings the rest again,
-                   // in order.
-                   uint64_t first = revision == 0 ? reply.revision : revision;
-                   if (reply.more && !reply.changes.empty()) {
-                     StartList(reply.changes.back().key, fresh, first);
-                     return;
-                   }
-                   fresh->AdvanceTo(first);
-                   mirror_.Replace(std::move(*fresh));
-                   loaded_ = true;
-                   // The pages are of different moments: a segment may name
-                   // jobs that the page before did not have yet. Nothing is
-                   // known for sure before what changed since has been read.
-                   wanted_ = true;
-                   out_.Log(LogLevel::kInfo,
-                            "event=state_loaded revision={} open_jobs={}",
-                            mirror_.revision(), mirror_.open_jobs().size());
-                   Finish(false);
-                   next_ = out_.now().steady;
-                 });
+void Follower::StartList() {
+  SteadyTime now = out_.now().steady;
+  if (listing_ && now - listing_->begun > kOldestListing) listing_.reset();
+  if (!listing_) {
+    listing_.emplace();
+    listing_->begun = now;
+  }
+  out_.CallState(ListRead{listing_->after}, tuning_.state_timeout,
+                 [this](const StateReply& reply) { OnPage(reply); });
+}
+
+void Follower::OnPage(const StateReply& reply) {
+  if (reply.status != 200) {
+    Finish(false);
+    return;
+  }
+  for (const Change& row : reply.changes) listing_->fresh.Apply(row);
+  // Later pages may be newer than the first: the watch goes on from the first
+  // page's revision and brings the rest again, in order.
+  if (listing_->revision == 0) listing_->revision = reply.revision;
+  if (reply.more && !reply.changes.empty()) {
+    listing_->after = reply.changes.back().key;
+    requests_.Take(out_.now().steady, 1, -1e9);
+    StartList();
+    return;
+  }
+  listing_->fresh.AdvanceTo(listing_->revision);
+  mirror_.Replace(std::move(listing_->fresh));
+  listing_.reset();
+  loaded_ = true;
+  // The pages are of different moments: a segment may name jobs that the page
+  // before did not have yet. Nothing is known for sure before what changed
+  // since has been read.
+  wanted_ = true;
+  out_.Log(LogLevel::kInfo, "event=state_loaded revision={} open_jobs={}",
+           mirror_.revision(), mirror_.open_jobs().size());
+  Finish(false);
+  next_ = out_.now().steady;
 }
 
 void Follower::Finish(bool ok) {
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -45,10 +45,12 @@
   static constexpr Duration kIdleGap = Millis(200);
   static constexpr Duration kBusyGap = Millis(20);
   static constexpr Duration kFailureGap = Millis(300);
+  // The change log must still hold what came after the first page.
+  static constexpr Duration kOldestListing = Millis(30000);
 
   void StartWatch();
-  void StartList(std::string after, std::shared_ptr<Mirror> fresh,
-                 uint64_t revision);
+  void StartList();
+  void OnPage(const StateReply& reply);
   void Finish(bool ok);
 
   const Deployment& deployment_;
@@ -57,6 +59,16 @@
   Mirror& mirror_;
   TokenBucket& requests_;
 
+  // A list under way. Thousands of jobs take many pages: a page that fails is
+  // asked for again, not the whole list, or a slow or busy state service would
+  // never let a restarted process begin.
+  struct Listing {
+    SteadyTime begun{};
+    std::string after;
+    uint64_t revision = 0;  // of the first page
+    Mirror fresh;
+  };
+  std::optional<Listing> listing_;
   bool loaded_ = false;
   bool wanted_ = true;
   bool reading_ = false;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -20,6 +20,10 @@
 constexpr Duration kFirstReach = Millis(1000);
 constexpr Duration kReachGap = Millis(2500);
 constexpr int kMostReaches = 6;
+// How many workers are shown the token at the same time, and how many pages of
+// the cloud's list are read on credit.
+constexpr int kMostShowing = 32;
+constexpr double kPagesAhead = 5;
 constexpr Duration kLeaseMargin = Millis(500);
 constexpr Duration kCancelMargin = Millis(2000);
 constexpr Duration kAllotmentRest = Millis(5000);
@@ -292,37 +296,60 @@
 }
 
 void Part::ReachWorkers() {
+  ShowTokens();
   SteadyTime now = context_.now();
   if (reaching_ || reaches_ >= kMostReaches || now < next_reach_) return;
   if (!context_.follower.Fresh() || !context_.cloud.Take(now, 1)) return;
   ++reaches_;
+  to_reach_.clear();
+  ListToReach("");
+}
+
+void Part::ListToReach(std::string after) {
   reaching_ = true;
   context_.out.CallCloud(
-      ListMachines{}, context_.tuning.cloud_timeout,
+      ListMachines{std::move(after)}, context_.tuning.cloud_timeout,
       [this, alive = std::weak_ptr<int>(alive_)](const CloudReply& reply) {
         if (alive.expired()) return;
-        reaching_ = false;
-        next_reach_ = context_.now() + kReachGap;
         for (const ListedMachine& listed : reply.listed) {
-          if (PartOf(listed.name, context_.parts) != number_) continue;
-          auto machine = machines_.find(listed.name);
-          bool reached =
-              machine != machines_.end() && machine->second.token_seen;
-          if (!reached && !listed.address.empty() &&
+          if (PartOf(listed.name, context_.parts) == number_ &&
+              !listed.address.empty() &&
               listed.status != MachineStatus::kFailed) {
-            ShowToken(listed);
+            to_reach_.push_back(listed);
           }
         }
+        SteadyTime now = context_.now();
+        if (reply.status == 200 && reply.more && !reply.listed.empty() &&
+            context_.cloud.Take(now, 1, -kPagesAhead)) {
+          ListToReach(reply.listed.back().name);
+          return;
+        }
+        reaching_ = false;
+        next_reach_ = now + kReachGap;
       });
 }
 
+// A few at a time: after a takeover there may be thousands, and most come by
+// themselves before their turn.
+void Part::ShowTokens() {
+  while (showing_ < kMostShowing && !to_reach_.empty()) {
+    ListedMachine listed = std::move(to_reach_.front());
+    to_reach_.pop_front();
+    auto machine = machines_.find(listed.name);
+    if (machine != machines_.end() && machine->second.token_seen) continue;
+    ShowToken(listed);
+  }
+}
+
 void Part::ShowToken(const ListedMachine& listed) {
+  ++showing_;
   context_.out.CallWorker(
       listed.address, InspectWorker{}, kCommandTimeout,
       [this, listed,
        alive = std::weak_ptr<int>(alive_)](const WorkerReply& reply) {
-        if (alive.expired() || !reply.report) return;
-        if (reply.report->token >= token_) return;
+        if (alive.expired()) return;
+        --showing_;
+        if (!reply.report || reply.report->token >= token_) return;
         context_.out.Log(LogLevel::kInfo,
                          "event=show_token part={} machine={} token={}",
                          number_, listed.name, token_);
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -12,6 +12,7 @@
 #define PITCHFALL_CORE_PART_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -113,6 +114,8 @@
   // After a takeover: workers that still answer to an earlier owner are shown
   // the new token, so that they look for the new one.
   void ReachWorkers();
+  void ListToReach(std::string after);
+  void ShowTokens();
   void ShowToken(const ListedMachine& listed);
   void CheckMachines();
   void MoveSavable(Machine& machine);
@@ -193,6 +196,8 @@
   SteadyTime next_delete_{};
   bool reaching_ = false;
   int reaches_ = 0;
+  std::deque<ListedMachine> to_reach_;
+  int showing_ = 0;  // calls to workers under way for this
   SteadyTime next_reach_{};
 };
 
--- a/src/io/event.h
+++ b/src/io/event.h
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
+#include <netinet/in.h>
 #include <sys/time.h>
 
 #include <memory>
@@ -44,6 +45,8 @@
 
 // "10.0.0.1:8080"; throws std::invalid_argument.
 Address ParseAddress(const std::string& text);
+// Throws std::runtime_error unless the host is an IPv4 address.
+sockaddr_in ToSockaddr(const Address& address);
 
 }  // namespace pitchfall::io
 
--- a/src/io/front.cc
+++ b/src/io/front.cc
@@ -13,6 +13,8 @@
 constexpr size_t kMostBody = 64 * 1024;
 constexpr size_t kMostHeaders = 16 * 1024;
 constexpr int kIdleSeconds = 60;
+constexpr Duration kAcceptPause = Millis(200);
+constexpr Duration kCrowdedRetry = Millis(2000);
 
 std::string ReadBody(evhttp_request* request) {
   evbuffer* input = evhttp_request_get_input_buffer(request);
@@ -23,8 +25,11 @@
 
 }  // namespace
 
-Front::Front(event_base* base, const Address& address, Sink sink)
-    : sink_(std::move(sink)), server_(evhttp_new(base)) {
+Front::Front(event_base* base, const Address& address, size_t most_connections,
+             Sink sink)
+    : sink_(std::move(sink)),
+      server_(evhttp_new(base)),
+      most_connections_(most_connections) {
   evhttp_set_max_body_size(server_.get(), kMostBody);
   evhttp_set_max_headers_size(server_.get(), kMostHeaders);
   evhttp_set_timeout(server_.get(), kIdleSeconds);
@@ -34,35 +39,58 @@
                          EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                          EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH);
   evhttp_set_gencb(server_.get(), OnRequest, this);
-  if (evhttp_bind_socket(server_.get(), address.host.c_str(), address.port) !=
-      0) {
+  // All workers may connect at one moment, after a restart.
+  sockaddr_in sin = ToSockaddr(address);
+  evconnlistener* listener = evconnlistener_new_bind(
+      base, nullptr, nullptr,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      static_cast<int>(most_connections), reinterpret_cast<sockaddr*>(&sin),
+      sizeof(sin));
+  if (listener == nullptr) {
     throw std::runtime_error("cannot listen on " + address.host + ":" +
                              std::to_string(address.port));
   }
+  if (evhttp_bind_listener(server_.get(), listener) == nullptr) {
+    evconnlistener_free(listener);
+    throw std::runtime_error("no memory to listen on " + address.host);
+  }
+  evconnlistener_set_error_cb(listener, OnAcceptError);
 }
 
 Front::~Front() {
-  for (auto& [id, waiting] : waiting_) {
-    evhttp_connection_set_closecb(
-        evhttp_request_get_connection(waiting->request), nullptr, nullptr);
+  for (auto& [connection, id] : connections_) {
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
   }
 }
 
+// Out of sockets: accepting would fail again at once and for ever.
+void Front::OnAcceptError(evconnlistener* listener, void*) {
+  evconnlistener_disable(listener);
+  timeval pause = ToTimeval(kAcceptPause);
+  event_base_once(
+      evconnlistener_get_base(listener), -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* arg) {
+        evconnlistener_enable(static_cast<evconnlistener*>(arg));
+      },
+      listener, &pause);
+}
+
 void Front::OnRequest(evhttp_request* request, void* arg) {
   static_cast<Front*>(arg)->Route(request);
 }
 
-void Front::OnClose(evhttp_connection*, void* arg) {
-  Waiting* waiting = static_cast<Waiting*>(arg);
-  waiting->front->waiting_.erase(waiting->id);
+void Front::OnClose(evhttp_connection* connection, void* arg) {
+  auto* self = static_cast<Front*>(arg);
+  auto found = self->connections_.find(connection);
+  if (found == self->connections_.end()) return;
+  self->waiting_.erase(found->second);
+  self->connections_.erase(found);
 }
 
 RequestId Front::Hold(evhttp_request* request) {
   RequestId id = ++last_id_;
-  auto waiting = std::make_unique<Waiting>(Waiting{this, id, request});
-  evhttp_connection_set_closecb(evhttp_request_get_connection(request), OnClose,
-                                waiting.get());
-  waiting_.emplace(id, std::move(waiting));
+  connections_[evhttp_request_get_connection(request)] = id;
+  waiting_.emplace(id, request);
   return id;
 }
 
@@ -80,10 +108,22 @@
     return false;
   };
 
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  if (connections_.try_emplace(connection, 0).second) {
+    evhttp_connection_set_closecb(connection, OnClose, this);
+  }
   if (path == wire::kHealthPath) {
     if (expect(EVHTTP_REQ_GET)) sink_(HealthCheck{Hold(request)});
     return;
   }
+  // The sockets left are for calls to the state service, the cloud, workers and
+  // the other controllers.
+  if (connections_.size() > most_connections_) {
+    Send(request, 503,
+         wire::EncodeReplyBody(Problem{"too many connections here"}),
+         kCrowdedRetry, true);
+    return;
+  }
   if (path == wire::kCheckInPath) {
     if (!expect(EVHTTP_REQ_POST)) return;
     auto report = wire::DecodeReport(ReadBody(request));
@@ -121,9 +161,8 @@
 void Front::Answer(const Reply& reply) {
   auto it = waiting_.find(reply.request);
   if (it == waiting_.end()) return;  // the client has gone
-  evhttp_request* request = it->second->request;
-  evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr,
-                                nullptr);
+  evhttp_request* request = it->second;
+  connections_[evhttp_request_get_connection(request)] = 0;
   waiting_.erase(it);
   Send(request, reply.status, wire::EncodeReplyBody(reply.body),
        reply.retry_after, reply.close);
--- a/src/io/front.h
+++ b/src/io/front.h
@@ -17,7 +17,8 @@
   using Sink = std::function<void(Command)>;
 
   // Throws std::runtime_error if the address cannot be bound.
-  Front(event_base* base, const Address& address, Sink sink);
+  Front(event_base* base, const Address& address, size_t most_connections,
+        Sink sink);
   ~Front();
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
@@ -25,14 +26,9 @@
   void Answer(const Reply& reply);
 
  private:
-  struct Waiting {
-    Front* front = nullptr;
-    RequestId id = 0;
-    evhttp_request* request = nullptr;
-  };
-
   static void OnRequest(evhttp_request* request, void* arg);
   static void OnClose(evhttp_connection* connection, void* arg);
+  static void OnAcceptError(evconnlistener* listener, void* arg);
   void Route(evhttp_request* request);
   RequestId Hold(evhttp_request* request);
   static void Send(evhttp_request* request, int status, const std::string& body,
@@ -40,8 +36,11 @@
 
   Sink sink_;
   HttpServer server_;
+  const size_t most_connections_;
   RequestId last_id_ = 0;
-  std::unordered_map<RequestId, std::unique_ptr<Waiting>> waiting_;
+  // Those that have sent a request, with the one that waits for its answer.
+  std::unordered_map<evhttp_connection*, RequestId> connections_;
+  std::unordered_map<RequestId, evhttp_request*> waiting_;
 };
 
 }  // namespace pitchfall::io
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -1,5 +1,7 @@
 #include "io/http_client.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -34,6 +36,16 @@
   return {text.substr(0, colon), static_cast<uint16_t>(port)};
 }
 
+sockaddr_in ToSockaddr(const Address& address) {
+  sockaddr_in sin{};
+  sin.sin_family = AF_INET;
+  sin.sin_port = htons(address.port);
+  if (inet_pton(AF_INET, address.host.c_str(), &sin.sin_addr) != 1) {
+    throw std::runtime_error("'" + address.host + "' is not an IPv4 address");
+  }
+  return sin;
+}
+
 HttpClient::HttpClient(event_base* base, Address address,
                        size_t max_connections)
     : base_(base),
--- a/src/io/peers.cc
+++ b/src/io/peers.cc
@@ -1,8 +1,5 @@
 #include "io/peers.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -16,16 +13,6 @@
 constexpr size_t kMostWaiting = 4096;
 constexpr size_t kMostIncoming = 64;
 
-sockaddr_in ToSockaddr(const Address& address) {
-  sockaddr_in sin{};
-  sin.sin_family = AF_INET;
-  sin.sin_port = htons(address.port);
-  if (inet_pton(AF_INET, address.host.c_str(), &sin.sin_addr) != 1) {
-    throw std::runtime_error("'" + address.host + "' is not an IPv4 address");
-  }
-  return sin;
-}
-
 }  // namespace
 
 Peers::Peers(event_base* base, const Address& bind,
--- a/src/io/runtime.cc
+++ b/src/io/runtime.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -15,13 +16,24 @@
 constexpr Duration kTick = Millis(25);
 constexpr size_t kStateConnections = 6;
 constexpr size_t kCloudConnections = 4;
-constexpr size_t kMostWorkerClients = 64;
+// Of the sockets for connections to workers; those that users and workers open
+// have the rest.
+constexpr size_t kWorkerShare = 8;
 
 std::string NewLife() {
   std::random_device random;
   return fmt::format("{:08x}{:08x}", random(), random());
 }
 
+// How many connections of users and workers leave enough sockets for all that
+// this process opens itself, and for files.
+size_t MostConnections(const Deployment& deployment) {
+  constexpr size_t kFiles = 32;
+  size_t own = kFiles + kStateConnections + kCloudConnections +
+               2 * deployment.peers.size() + deployment.sockets / kWorkerShare;
+  return deployment.sockets - std::min<size_t>(deployment.sockets - 1, own);
+}
+
 std::vector<Address> PeerAddresses(const Deployment& deployment) {
   std::vector<Address> addresses;
   for (const auto& peer : deployment.peers) {
@@ -36,12 +48,14 @@
     : base_(event_base_new()),
       controller_(deployment, tuning, NewLife()),
       front_(base_.get(), ParseAddress(deployment.front),
+             MostConnections(deployment),
              [this](Command command) { Push(std::move(command)); }),
       peers_(base_.get(), ParseAddress(deployment.peer_bind),
              PeerAddresses(deployment),
              [this](PeerHello hello) { Push(std::move(hello)); }),
       state_(base_.get(), ParseAddress(deployment.state), kStateConnections),
       cloud_(base_.get(), ParseAddress(deployment.cloud), kCloudConnections),
+      most_worker_clients_(deployment.sockets / kWorkerShare),
       drain_(event_new(base_.get(), -1, 0, OnDrain, this)),
       tick_(event_new(base_.get(), -1, EV_PERSIST, OnTick, this)) {
   timeval tv = ToTimeval(kTick);
@@ -100,10 +114,15 @@
     reply.call = id;
     Push(std::move(reply));
   };
-  if (workers_.size() > kMostWorkerClients) {
+  if (workers_.size() >= most_worker_clients_) {
     std::erase_if(workers_,
                   [](const auto& entry) { return entry.second->idle(); });
   }
+  // What a call would have said goes with the answer to the worker's report.
+  if (workers_.size() >= most_worker_clients_) {
+    answer(0, {});
+    return;
+  }
   auto& client = workers_[call.address];
   if (!client) {
     try {
--- a/src/io/runtime.h
+++ b/src/io/runtime.h
@@ -40,6 +40,7 @@
   Peers peers_;
   HttpClient state_;
   HttpClient cloud_;
+  const size_t most_worker_clients_;
   std::map<std::string, std::unique_ptr<HttpClient>> workers_;
   Event drain_;
   Event tick_;
