--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -43,6 +43,8 @@
 
 std::string Label(size_t index) { return fmt::format("node-{}", index); }
 
+std::string ZoneOf(size_t index) { return index % 2 == 0 ? "a" : "b"; }
+
 }  // namespace
 
 struct World::Node {
@@ -53,8 +55,9 @@
   SteadyTime state_cut_until{};
   SteadyTime worker_cut_until{};
   SteadyTime peer_cut_until{};
-  SteadyTime slow_until{};  // works everything off late
-  bool hold = false;        // cuts hold messages back instead of losing them
+  SteadyTime slow_until{};    // works everything off late
+  SteadyTime frozen_until{};  // stands still, its clocks run on
+  bool hold = false;          // cuts hold messages back instead of losing them
   RequestId last_request = 0;
   std::map<RequestId, OnAnswer> waiting;
 };
@@ -237,6 +240,14 @@
 void World::Deliver(size_t index, uint64_t life, Command command) {
   Node& node = *nodes_[index];
   if (!node.controller || node.life != life) return;
+  if (now_ < node.frozen_until) {
+    if (std::holds_alternative<Tick>(command)) return;
+    After(node.frozen_until - now_,
+          [this, index, life, c = std::move(command)] {
+            Deliver(index, life, c);
+          });
+    return;
+  }
   if (now_ < node.slow_until && !std::holds_alternative<Tick>(command)) {
     After(Between(0.1, 0.6), [this, index, life, c = std::move(command)] {
       Node& n = *nodes_[index];
@@ -370,9 +381,12 @@
     return wire::DecodeWorker(status, body);
   });
   wire::HttpRequest http = wire::EncodeWorker(call.request);
-  auto execute = [this, call, http]() -> std::optional<standins::HttpReply> {
+  size_t index = node.index;
+  auto execute = [this, call, http,
+                  index]() -> std::optional<standins::HttpReply> {
     for (auto& [name, box] : machines_) {
       if (box->worker->config().address != call.address) continue;
+      if (CutOff(index, name)) return std::nullopt;
       return box->worker->Handle(http.post ? "POST" : "GET", http.path,
                                  http.body, now_);
     }
@@ -395,29 +409,48 @@
 }
 
 void World::Ask(size_t index, std::function<Command(RequestId)> make,
-                Duration timeout, bool worker, OnAnswer on_answer) {
+                Duration timeout, const std::string& machine,
+                OnAnswer on_answer) {
   auto answered = std::make_shared<bool>(false);
   auto answer = [answered, on_answer](std::optional<Reply> reply) {
     if (!std::exchange(*answered, true)) on_answer(std::move(reply));
   };
   After(timeout, [answer] { answer(std::nullopt); });
   Node& node = *nodes_[index];
-  if (worker && now_ < node.worker_cut_until && !node.hold) return;
-  Duration held = worker && now_ < node.worker_cut_until
-                      ? node.worker_cut_until - now_
-                      : Duration(0);
-  After(held + Hop(), [this, index, make, answer, worker] {
+  bool worker = !machine.empty();
+  SteadyTime cut_until = worker ? node.worker_cut_until : SteadyTime{};
+  bool hold = node.hold;
+  if (CutOff(index, machine)) {
+    auto own = cut_until_.find(machine);
+    cut_until = std::max(zone_cut_until_,
+                         own == cut_until_.end() ? SteadyTime{} : own->second);
+    hold = zone_hold_;
+  }
+  if (now_ < cut_until && !hold) return;
+  Duration held = std::max(cut_until - now_, Duration(0));
+  After(held + Hop(), [this, index, make, answer, worker, machine] {
     Node& n = *nodes_[index];
     if (!n.controller) return;
     RequestId id = ++n.last_request;
-    n.waiting[id] = [this, index, answer, worker](std::optional<Reply> reply) {
+    n.waiting[id] = [this, index, answer, worker,
+                     machine](std::optional<Reply> reply) {
       if (worker && now_ < nodes_[index]->worker_cut_until) return;
+      if (CutOff(index, machine)) return;
       After(Hop(), [answer, reply] { answer(reply); });
     };
     Deliver(index, n.life, make(id));
   });
 }
 
+bool World::CutOff(size_t index, const std::string& machine) const {
+  auto own = cut_until_.find(machine);
+  if (own != cut_until_.end() && now_ < own->second) return true;
+  if (now_ >= zone_cut_until_) return false;
+  auto box = machines_.find(machine);
+  std::string zone = box == machines_.end() ? "" : box->second->zone;
+  return zone != ZoneOf(index) && (zone == "b" || ZoneOf(index) == "b");
+}
+
 // ---- Machines ----
 
 void World::AddMachine(const standins::Cloud::Machine& machine) {
@@ -479,11 +512,11 @@
   };
   if (Chance() < config_.late_report) {
     // A copy that the network held back; its answer goes nowhere.
-    After(Between(1, config_.late_report_s), [this, target, make] {
-      Ask(target, make, kReportWait, true, [](std::optional<Reply>) {});
+    After(Between(1, config_.late_report_s), [this, target, make, name] {
+      Ask(target, make, kReportWait, name, [](std::optional<Reply>) {});
     });
   }
-  Ask(target, make, kReportWait, true,
+  Ask(target, make, kReportWait, name,
       [this, name, number, session, sent](std::optional<Reply> reply) {
         auto it = machines_.find(name);
         if (it == machines_.end() || it->second->report_number != number) {
@@ -653,7 +686,7 @@
   auto make = [spec = job.spec](RequestId request) -> Command {
     return SubmitJob{request, spec};
   };
-  Ask(Pick(config_.nodes), make, Seconds(5), false,
+  Ask(Pick(config_.nodes), make, Seconds(5), "",
       [this, id, since, asked = now_](std::optional<Reply> reply) {
         JobModel& j = *jobs_[id];
         int status = reply ? reply->status : 0;
@@ -684,7 +717,7 @@
       [id](RequestId request) -> Command {
         return PollJob{request, id};
       },
-      Seconds(2), false,
+      Seconds(2), "",
       [this, id, asked = now_](std::optional<Reply> reply) {
         JobModel& job = *jobs_[id];
         int status = reply ? reply->status : 0;
@@ -707,7 +740,7 @@
       [id](RequestId request) -> Command {
         return CancelJob{request, id};
       },
-      Seconds(5), false,
+      Seconds(5), "",
       [this, id, asked = now_](std::optional<Reply> reply) {
         JobModel& job = *jobs_[id];
         if (reply && reply->status == 200) {
@@ -788,6 +821,7 @@
       break;
   }
   if (Chance() < 0.4) MoreTrouble(Pick(config_.nodes));
+  if (config_.fleet_troubles) FleetTrouble(Pick(config_.nodes));
   // The longest of them last 20 s.
   calm_since_ = now_ + Seconds(20);
   double mean = ToSeconds(config_.trouble_every);
@@ -835,6 +869,62 @@
   }
 }
 
+std::vector<std::string> World::PickMachines(double share) {
+  std::vector<std::string> names;
+  for (const auto& [name, box] : machines_) {
+    if (Chance() < share) names.push_back(name);
+  }
+  return names;
+}
+
+// What came with the fleet.
+void World::FleetTrouble(size_t index) {
+  switch (Pick(5)) {
+    case 0:
+      Note(fmt::format("node {} stands still", index));
+      nodes_[index]->frozen_until = now_ + Between(5, 25);
+      break;
+    case 1:
+      Note("zone b is cut off from everything");
+      zone_cut_until_ = now_ + Between(3, 18);
+      zone_hold_ = Chance() < 0.5;
+      for (size_t i = 1; i < config_.nodes; i += 2) {
+        nodes_[i]->hold = zone_hold_;
+        nodes_[i]->state_cut_until = zone_cut_until_;
+        nodes_[i]->peer_cut_until = zone_cut_until_;
+      }
+      break;
+    case 2:
+      Note("many machines are cut off");
+      zone_hold_ = Chance() < 0.5;
+      for (const std::string& name : PickMachines(0.4)) {
+        cut_until_[name] = now_ + Between(3, 18);
+      }
+      break;
+    case 3:
+      Note("many machines hang");
+      for (const std::string& name : PickMachines(0.4)) {
+        machines_[name]->worker->hanging = true;
+        After(Between(3, 15), [this, name] {
+          auto found = machines_.find(name);
+          if (found != machines_.end()) found->second->worker->hanging = false;
+        });
+      }
+      break;
+    default:
+      Note("all restart while the state service is away");
+      state_outage_ = true;
+      After(Between(3, 12), [this] {
+        state_outage_ = false;
+        state_.RenewAll(now_);
+      });
+      for (size_t i = 0; i < config_.nodes; ++i) {
+        CrashNode(i, Between(0.05, config_.longest_down_s));
+      }
+      break;
+  }
+}
+
 // A machine is back within a fraction of a second and has forgotten everything.
 void World::RestartMachine() {
   if (machines_.empty()) return;
@@ -874,7 +964,7 @@
   After(Seconds(4), [this] {
     Ask(
         kIsolated, [](RequestId id) -> Command { return HealthCheck{id}; },
-        Seconds(1), false,
+        Seconds(1), "",
         [this](std::optional<Reply> reply) {
           isolated_said_unhealthy_ = reply && reply->status == 503;
         });
@@ -884,7 +974,7 @@
         [](RequestId id) -> Command {
           return PollJob{id, "run-000000"};
         },
-        Seconds(1), false,
+        Seconds(1), "",
         [this](std::optional<Reply> reply) {
           bool sent_on = reply && (reply->status == 200 || reply->close);
           lost_on_isolated_ += !sent_on;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -51,6 +51,10 @@
   // Reports of these many machines arrive from 30 s on, and nothing reaches
   // them.
   int deaf_machines = 0;
+  // Besides: controllers that stand still while their clocks run on, zones and
+  // many machines cut off, many machines that hang, all controllers restarted
+  // while the state service is away.
+  bool fleet_troubles = false;
   // Once: a controller loses the state service and its peers, but not its
   // workers nor its users.
   bool isolate_a_node = false;
@@ -134,8 +138,9 @@
   // Asks a controller as a client would; the answer comes within `timeout` or
   // never (none).
   using OnAnswer = std::function<void(std::optional<Reply>)>;
+  // `machine`: which asks; empty for users.
   void Ask(size_t index, std::function<Command(RequestId)> make,
-           Duration timeout, bool worker, OnAnswer on_answer);
+           Duration timeout, const std::string& machine, OnAnswer on_answer);
 
   // Machines.
   void AddMachine(const standins::Cloud::Machine& machine);
@@ -155,6 +160,11 @@
 
   void Trouble();
   void MoreTrouble(size_t index);
+  void FleetTrouble(size_t index);
+  std::vector<std::string> PickMachines(double share);
+  // Whether nothing passes between the controller and the machine (or, without
+  // one, its users).
+  bool CutOff(size_t index, const std::string& machine) const;
   const std::string& PickMachine();
   void RestartMachine();
   void DeafenMachines();
@@ -193,7 +203,10 @@
   SteadyTime state_slow_until_{};
   SteadyTime peers_refused_until_{};
   std::set<std::string> deaf_;
-  std::map<std::string, SteadyTime> deleted_;  // machines, and since when
+  SteadyTime zone_cut_until_{};  // zone b, with the controllers in it
+  bool zone_hold_ = false;
+  std::map<std::string, SteadyTime> cut_until_;  // machines
+  std::map<std::string, SteadyTime> deleted_;    // machines, and since when
   std::set<std::tuple<std::string, uint32_t, uint32_t>> bound_;
   SteadyTime calm_since_{};  // the last trouble's end
   int deaf_left_ = 0;
--- a/tests/sim_test.cc
+++ b/tests/sim_test.cc
@@ -120,6 +120,30 @@
   }
 }
 
+// Troubles of the fleet's kind and length, many leases long, over and in each
+// other: controllers that wake up with what had queued up meanwhile, zones cut
+// off with controllers in them, machines cut off or hanging by the dozen, all
+// controllers back while the state service is not.
+TEST(FleetTroubles, KeepTheRules) {
+  for (uint64_t seed = 1; seed <= 16; ++seed) {
+    WorldConfig config;
+    config.seed = seed;
+    config.nodes = 2 + seed % 4;
+    config.fleet_troubles = true;
+    config.jobs = 40;
+    config.jobs_within = Seconds(100);
+    config.longest_run_s = 20;
+    config.team_limit = 120;
+    config.capacity = 20;
+    config.trouble_every = Seconds(12);
+    config.trouble_until = Seconds(140);
+    World world(config);
+    world.Run();
+    EXPECT_TRUE(world.violations().empty()) << seed << " " << Told(world);
+    EXPECT_EQ(world.finished(), world.accepted()) << seed << " " << Told(world);
+  }
+}
+
 // Its reports arrive, answers and commands do not: the machine is recognised by
 // what its reports fail to show, and its tasks run elsewhere.
 TEST(DeafMachine, IsDeletedAndItsWorkMoves) {
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -14,6 +14,13 @@
     config.seed = seed;
     config.parts = seed % 4;
     if (seed % 3 == 0) config.trouble_every = pitchfall::Seconds(3);
+    if (seed % 2 == 0) {
+      config.fleet_troubles = true;
+      config.longest_run_s = 20;
+      config.team_limit = 120;
+      config.capacity = 20;
+      config.nodes = 2 + seed % 5;
+    }
     config.log_debug = count == 1;
     pitchfall::sim::World world(config);
     world.Run();
