--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -61,6 +61,8 @@
   bool token_seen = false;
   SteadyTime last_answer{};
   RequestId waiting = 0;  // the request to answer
+  // Until its next report, as far as can be expected: starts travel in answers.
+  Duration until_report{0};
   SteadyTime waiting_since{};
 
   // Since when it has shown no sign of hearing answers, although it should
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -707,6 +707,8 @@
       health == job_health_.end() || health->second.at_fault()
           ? kNone
           : health->second.failed_on;
+  bool hurried = StartsWithin(spec, context_.deployment,
+                              2 * context_.deployment.report);
   for (uint32_t task = job.chunk_begin(chunk); task < job.chunk_end(chunk);
        ++task) {
     if (HasTask(taken, task)) continue;
@@ -719,7 +721,8 @@
     }
     if (!MayTouch(draft, job, chunk)) return Placed::kNoQuota;
     Machine* machine =
-        ChooseMachine(spec, tasks - CountTasks(taken), use, open, avoid);
+        ChooseMachine(spec, tasks - CountTasks(taken), use, open, avoid,
+                      hurried);
     if (machine == nullptr) return Placed::kNoMachine;
     if (!AllotTeam(draft, job)) return Placed::kNoQuota;
     ChunkRecord& changed = Touch(draft, job, chunk).record;
@@ -862,7 +865,13 @@
   SteadyTime now = context_.now();
   std::vector<Machine*> open;
   for (auto& [name, machine] : machines_) {
-    if (machine.TakesTasks(now)) open.push_back(&machine);
+    if (!machine.TakesTasks(now)) continue;
+    open.push_back(&machine);
+    machine.until_report =
+        machine.waiting != 0
+            ? Duration(0)
+            : std::max(Duration(0), machine.last_answer +
+                                        context_.deployment.report - now);
   }
   std::map<std::string, SteadyTime> waiting;
   reserved_.clear();
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int64_t kNever = std::numeric_limits<int64_t>::max() / 2;
+// Of a fetch that has to begin now, as a typical image takes; one on its way is
+// half done.
+constexpr Duration kHalfFetch = Millis(2000);
 constexpr Duration kAgeStep = Millis(420000);
 // Running tasks are half done, as far as anybody knows.
 constexpr double kLeftOfRunning = 0.5;
@@ -190,11 +193,21 @@
   return true;
 }
 
+bool StartsWithin(const JobSpec& spec, const Deployment& deployment,
+                  Duration within) {
+  return std::any_of(deployment.objectives.begin(), deployment.objectives.end(),
+                     [&](const Objective& objective) {
+                       return objective.kind == "wait" &&
+                              objective.job_class == spec.job_class &&
+                              objective.within <= within;
+                     });
+}
+
 Machine* ChooseMachine(const JobSpec& spec, uint32_t waiting,
                        const ZoneUse& use,
                        const std::vector<Machine*>& machines,
-                       const std::set<std::string>& avoid) {
-  using Score = std::tuple<int, int, int64_t, int64_t>;
+                       const std::set<std::string>& avoid, bool hurried) {
+  using Score = std::tuple<int64_t, int, int, int64_t, int64_t>;
   Machine* best = nullptr;
   Score best_score;
   for (Machine* machine : machines) {
@@ -205,7 +218,11 @@
                 : machine->Coming(spec.image)        ? 1
                                                      : 2;
     int64_t tasks = image < 2 ? 0 : spec.need.CountIn(free, waiting);
-    Score score{image, machine->spot ? 0 : 1, -tasks, free.cpus};
+    // Seconds until its start, about, if that is what counts.
+    int64_t delay =
+        hurried ? (machine->until_report + image * kHalfFetch) / Millis(1000)
+                : 0;
+    Score score{delay, image, machine->spot ? 0 : 1, -tasks, free.cpus};
     if (best == nullptr || score < best_score) {
       best = machine;
       best_score = score;
--- a/src/core/preemption.cc
+++ b/src/core/preemption.cc
@@ -54,12 +54,19 @@
   return candidates;
 }
 
-// Whether the class is to start within moments.
-bool Hurries(const JobSpec& spec, const Deployment& deployment) {
+// A start may be as much later than its class wants, if it is to wait for a
+// victim that saves first.
+constexpr Duration kSlack = Millis(10000);
+
+// Whether the class is to start so soon that there is no time for the victim to
+// save.
+bool Hurries(const JobSpec& spec, const JobSpec& victim,
+             const Deployment& deployment) {
   return std::any_of(deployment.objectives.begin(), deployment.objectives.end(),
                      [&](const Objective& objective) {
                        return objective.kind == "wait" &&
-                              objective.job_class == spec.job_class;
+                              objective.job_class == spec.job_class &&
+                              objective.within < victim.save + kSlack;
                      });
 }
 
@@ -72,15 +79,15 @@
   for (const Job* job : jobs) {
     const JobSpec& spec = job->spec();
     if (spec.team != team) continue;
-    StopKind kind =
-        Hurries(spec, deployment) ? StopKind::kAtOnce : StopKind::kSave;
     for (int64_t left = job->waiting(); left > 0; --left) {
       while (!(used + spec.need).FitsIn(limit) && next < candidates.size() &&
              candidates[next].priority < static_cast<int>(spec.priority)) {
         const Candidate& chosen = candidates[next++];
         used -= chosen.job->spec().need;
         victims[{chosen.job->spec().id, chosen.assignment.task,
-                 chosen.assignment.attempt}] = kind;
+                 chosen.assignment.attempt}] =
+            Hurries(spec, chosen.job->spec(), deployment) ? StopKind::kAtOnce
+                                                          : StopKind::kSave;
       }
       if (!(used + spec.need).FitsIn(limit)) break;
       used += spec.need;
