--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -707,8 +707,8 @@
       health == job_health_.end() || health->second.at_fault()
           ? kNone
           : health->second.failed_on;
-  bool hurried = StartsWithin(spec, context_.deployment,
-                              2 * context_.deployment.report);
+  bool hurried = context_.deployment.StartsWithin(
+      spec.job_class, 2 * context_.deployment.report);
   for (uint32_t task = job.chunk_begin(chunk); task < job.chunk_end(chunk);
        ++task) {
     if (HasTask(taken, task)) continue;
@@ -720,9 +720,8 @@
       return Placed::kNoQuota;
     }
     if (!MayTouch(draft, job, chunk)) return Placed::kNoQuota;
-    Machine* machine =
-        ChooseMachine(spec, tasks - CountTasks(taken), use, open, avoid,
-                      hurried);
+    Machine* machine = ChooseMachine(spec, tasks - CountTasks(taken), use, open,
+                                     avoid, hurried, widest_);
     if (machine == nullptr) return Placed::kNoMachine;
     if (!AllotTeam(draft, job)) return Placed::kNoQuota;
     ChunkRecord& changed = Touch(draft, job, chunk).record;
@@ -870,8 +869,14 @@
     machine.until_report =
         machine.waiting != 0
             ? Duration(0)
-            : std::max(Duration(0), machine.last_answer +
-                                        context_.deployment.report - now);
+            : std::max(Duration(0),
+                       machine.last_answer + context_.deployment.report - now);
+  }
+  widest_ = 0;
+  for (const Job* job : jobs) {
+    if (job->waiting() > 0) {
+      widest_ = std::max(widest_, job->spec().need.cpus);
+    }
   }
   std::map<std::string, SteadyTime> waiting;
   reserved_.clear();
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -81,6 +81,7 @@
   // How many puts the next transaction may have beside one segment.
   size_t draft_limit_ = 0;
   size_t most_starting_ = 0;  // jobs whose tasks it may start
+  int64_t widest_ = 0;        // processors of the largest task that waits
   // Chunks that it may change. Thousands of tasks may end at one moment, more
   // than a transaction takes: the rest is left to the next.
   size_t most_chunks_ = kAnyNumber;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -193,21 +193,12 @@
   return true;
 }
 
-bool StartsWithin(const JobSpec& spec, const Deployment& deployment,
-                  Duration within) {
-  return std::any_of(deployment.objectives.begin(), deployment.objectives.end(),
-                     [&](const Objective& objective) {
-                       return objective.kind == "wait" &&
-                              objective.job_class == spec.job_class &&
-                              objective.within <= within;
-                     });
-}
-
 Machine* ChooseMachine(const JobSpec& spec, uint32_t waiting,
                        const ZoneUse& use,
                        const std::vector<Machine*>& machines,
-                       const std::set<std::string>& avoid, bool hurried) {
-  using Score = std::tuple<int64_t, int, int, int64_t, int64_t>;
+                       const std::set<std::string>& avoid, bool hurried,
+                       int64_t widest) {
+  using Score = std::tuple<int64_t, int, int, int, int64_t, int64_t>;
   Machine* best = nullptr;
   Score best_score;
   for (Machine* machine : machines) {
@@ -222,7 +213,11 @@
     int64_t delay =
         hurried ? (machine->until_report + image * kHalfFetch) / Millis(1000)
                 : 0;
-    Score score{delay, image, machine->spot ? 0 : 1, -tasks, free.cpus};
+    // Whether a slot for a larger task that waits is lost by it.
+    bool breaks = widest > spec.need.cpus &&
+                  (free.cpus - spec.need.cpus) / widest < free.cpus / widest;
+    Score score{delay,  image,    breaks ? 1 : 0, machine->spot ? 0 : 1,
+                -tasks, free.cpus};
     if (best == nullptr || score < best_score) {
       best = machine;
       best_score = score;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -58,16 +58,14 @@
 // wait for it. Then cheap ones, then one with room for as many of them as can
 // be, for the same reason; then the fullest, so that dear and hardly used ones
 // run empty and can be returned. Machines in `avoid` are passed over. If it is
-// `hurried`, the machine where it starts soonest comes first.
+// `hurried`, the machine where it starts soonest comes first. Tasks of up to
+// `widest` processors wait too: smaller ones rather go where none of them would
+// fit, or room for many would stand free in pieces.
 Machine* ChooseMachine(const JobSpec& spec, uint32_t waiting,
                        const ZoneUse& use,
                        const std::vector<Machine*>& machines,
-                       const std::set<std::string>& avoid,
-                       bool hurried = false);
-
-// Whether the tasks of the class are to start within this time.
-bool StartsWithin(const JobSpec& spec, const Deployment& deployment,
-                  Duration within);
+                       const std::set<std::string>& avoid, bool hurried = false,
+                       int64_t widest = 0);
 
 }  // namespace pitchfall
 
--- a/src/core/preemption.cc
+++ b/src/core/preemption.cc
@@ -54,22 +54,10 @@
   return candidates;
 }
 
-// A start may be as much later than its class wants, if it is to wait for a
-// victim that saves first.
+// Who is to start sooner than a victim has saved, and this much, does not wait
+// for it to save.
 constexpr Duration kSlack = Millis(10000);
 
-// Whether the class is to start so soon that there is no time for the victim to
-// save.
-bool Hurries(const JobSpec& spec, const JobSpec& victim,
-             const Deployment& deployment) {
-  return std::any_of(deployment.objectives.begin(), deployment.objectives.end(),
-                     [&](const Objective& objective) {
-                       return objective.kind == "wait" &&
-                              objective.job_class == spec.job_class &&
-                              objective.within < victim.save + kSlack;
-                     });
-}
-
 void ChooseInTeam(const std::string& team, const Deployment& deployment,
                   Resources used, const std::vector<const Job*>& jobs,
                   WallTime now, std::map<Victim, StopKind>& victims) {
@@ -86,8 +74,10 @@
         used -= chosen.job->spec().need;
         victims[{chosen.job->spec().id, chosen.assignment.task,
                  chosen.assignment.attempt}] =
-            Hurries(spec, chosen.job->spec(), deployment) ? StopKind::kAtOnce
-                                                          : StopKind::kSave;
+            deployment.StartsWithin(spec.job_class,
+                                    chosen.job->spec().save + kSlack)
+                ? StopKind::kAtOnce
+                : StopKind::kSave;
       }
       if (!(used + spec.need).FitsIn(limit)) break;
       used += spec.need;
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -2,6 +2,7 @@
 #ifndef PITCHFALL_CORE_SETTINGS_H_
 #define PITCHFALL_CORE_SETTINGS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -55,6 +56,15 @@
   double cloud_rps = 4;
   Duration list_lag{Millis(5000)};
   uint32_t sockets = 1024;
+
+  // Whether the tasks of the class are to start within this time.
+  bool StartsWithin(const std::string& job_class, Duration within) const {
+    return std::any_of(
+        objectives.begin(), objectives.end(), [&](const Objective& objective) {
+          return objective.kind == "wait" && objective.job_class == job_class &&
+                 objective.within <= within;
+        });
+  }
 };
 
 // The operators' own settings; docs/operations.md gives units and reasons.
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -570,7 +570,12 @@
   EXPECT_EQ(victims.begin()->first.job, "run-1");
   EXPECT_EQ(victims.begin()->first.task, 2u);
   EXPECT_EQ(victims.begin()->second, StopKind::kSave);
-  // A class that is to start within moments cannot wait for the saving.
+  // A class that may start a minute later can wait for the saving.
+  d.objectives.push_back({"wait", "x", Seconds(70), 0.9});
+  victims =
+      ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d), WallTime());
+  EXPECT_EQ(victims.begin()->second, StopKind::kSave);
+  // One that is to start within moments cannot.
   d.objectives.push_back({"wait", "x", Seconds(5), 0.9});
   victims =
       ChooseVictims(mirror, d, OrderJobs(mirror, WallTime(), d), WallTime());
@@ -670,6 +675,39 @@
   EXPECT_FALSE(Allowed(spec, machine, ZoneUse{{{"a", 3}}, 3}));
 }
 
+// Starts travel in answers to reports: with little time, the machine that
+// reports next counts, and not only the one that has the image.
+TEST(Places, HurriedTasksGoWhereTheyStartSoonest) {
+  Machine image_later;
+  image_later.capacity = Resources::FromDecimals(8, 0, 32);
+  image_later.images = {"img"};
+  image_later.until_report = Millis(5000);
+  Machine now_without = image_later;
+  now_without.images.clear();
+  now_without.until_report = Duration(0);
+  std::vector<Machine*> machines{&image_later, &now_without};
+  JobSpec spec = Spec("run-1", 1, 1);
+  EXPECT_EQ(ChooseMachine(spec, 1, {}, machines, {}, false), &image_later);
+  EXPECT_EQ(ChooseMachine(spec, 1, {}, machines, {}, true), &now_without);
+}
+
+// Eight machines with three free processors each are of no use to a job whose
+// tasks take four: small tasks fill what is in pieces first.
+TEST(Places, SmallTasksLeaveSlotsForLargerOnes) {
+  Machine whole;
+  whole.capacity = Resources::FromDecimals(8, 0, 32);
+  whole.used = Resources::FromDecimals(4, 0, 4);
+  whole.spot = true;
+  Machine pieces = whole;
+  pieces.spot = false;
+  pieces.used = Resources::FromDecimals(5, 0, 5);
+  std::vector<Machine*> machines{&whole, &pieces};
+  JobSpec spec = Spec("run-1", 1, 1);
+  int64_t four = Resources::FromDecimal(4);
+  EXPECT_EQ(ChooseMachine(spec, 1, {}, machines, {}, false, 0), &whole);
+  EXPECT_EQ(ChooseMachine(spec, 1, {}, machines, {}, false, four), &pieces);
+}
+
 // Work is only sent where its tasks fit: not to many machines with a little
 // room each, nor to spot machines that it may not use.
 TEST(RoomBook, CountsWholeTasks) {
