--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -64,8 +64,20 @@
   return effects;
 }
 
+// Machines and chunks of parts that nobody owns would be left alone for ever.
+void Controller::CompareWithStored() {
+  if (std::exchange(compared_, true)) return;
+  uint32_t stored = mirror_.PartCount();
+  if (stored <= context_.parts) return;
+  out_.Log(LogLevel::kError,
+           "event=parts_mismatch stored={} now={} remedy=\"set (parts {}) on "
+           "all controllers until no job is open\"",
+           stored, context_.parts, stored);
+}
+
 void Controller::FollowOwnership() {
   if (!follower_.loaded()) return;
+  CompareWithStored();
   for (uint32_t number = 0; number < context_.parts; ++number) {
     std::optional<uint64_t> token = ownership_.TokenOf(number);
     auto part = parts_.find(number);
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -51,6 +51,7 @@
   void On(const Tick&) {}
 
   void FollowOwnership();
+  void CompareWithStored();
   void ShareBudgets();
   void ExchangeHellos();
   void ConsiderStrays();
@@ -85,6 +86,7 @@
   double write_use_ = 0;
   double writes_taken_ = 0;
   SteadyTime started_{};
+  bool compared_ = false;  // the settings with what is stored
 };
 
 }  // namespace pitchfall
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -21,6 +21,15 @@
 
 }  // namespace
 
+void KeepWithin(std::vector<std::string>& names, size_t bytes) {
+  size_t used = 64;  // the record's own words
+  auto end = std::find_if(names.begin(), names.end(), [&](const auto& name) {
+    used += name.size() + 3;
+    return used > bytes;
+  });
+  names.erase(end, names.end());
+}
+
 Fleet::Fleet(Context& context, uint64_t token)
     : context_(context), token_(token) {
   context_.out.Log(LogLevel::kInfo, "event=leading token={}", token);
@@ -495,12 +504,8 @@
     return !machines_.contains(name);
   });
   // What does not fit into one value goes next time.
-  size_t bytes = 64;
-  auto end = std::find_if(machines.begin(), machines.end(), [&](const auto& m) {
-    bytes += m.size() + 3;
-    return static_cast<double>(bytes) > context_.deployment.value_kb * 1024;
-  });
-  machines.erase(end, machines.end());
+  KeepWithin(machines,
+             static_cast<size_t>(context_.deployment.value_kb * 1024));
   Transaction txn;
   txn.conditions.push_back({keys::kDrain, stored ? stored->stamp : 0});
   txn.writes.push_back({keys::kDrain, DrainRecord{std::move(machines)}, 0});
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -18,6 +18,9 @@
 
 namespace pitchfall {
 
+// Keeps as many names as a record of this many bytes of JSON can list.
+void KeepWithin(std::vector<std::string>& names, size_t bytes);
+
 class Fleet {
  public:
   Fleet(Context& context, uint64_t token);
--- a/src/core/mirror.cc
+++ b/src/core/mirror.cc
@@ -1,5 +1,6 @@
 #include "core/mirror.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -220,6 +221,16 @@
   return it == loads_.end() ? nullptr : &it->second;
 }
 
+uint32_t Mirror::PartCount() const {
+  uint32_t count = 0;
+  for (const auto& [name, part] : parts_) {
+    uint32_t number = 0;
+    std::from_chars(name.data(), name.data() + name.size(), number);
+    count = std::max(count, number + 1);
+  }
+  return count;
+}
+
 const Mirror::Segment* Mirror::FindSegment(uint32_t part, uint32_t slot) const {
   auto it = segments_.find({part, slot});
   return it == segments_.end() ? nullptr : &it->second;
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -62,6 +62,8 @@
   const Table<RentalRecord>& rentals() const { return rentals_; }
   const Table<TeamRecord>& teams() const { return teams_; }
   const Versioned<PartRecord>* FindPart(uint32_t part) const;
+  // One more than the highest number of a part that ever had an owner.
+  uint32_t PartCount() const;
   const Segment* FindSegment(uint32_t part, uint32_t slot) const;
   // One more than the number of the part's last slot ever written.
   uint32_t SlotCount(uint32_t part) const;
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -7,7 +7,9 @@
 #include <string>
 
 #include "core/budget.h"
+#include "core/controller.h"
 #include "core/demand.h"
+#include "core/fleet.h"
 #include "core/follower.h"
 #include "core/hash.h"
 #include "core/machines.h"
@@ -344,6 +346,61 @@
   EXPECT_EQ(mirror.revision(), 100u);
 }
 
+// The stored number of parts contradicts the setting: said once, with the
+// remedy, since what lies in the other parts would be left alone for ever.
+TEST(Controller, NamesStoredPartsThatTheSettingLeavesOut) {
+  Deployment deployment;
+  deployment.label = "node-0";
+  Tuning tuning;
+  tuning.parts = 2;
+  Controller controller(deployment, tuning, "1");
+  Now now{SteadyTime(Seconds(1000)), WallTime(Seconds(1000))};
+  std::vector<Command> batch{Tick{}};
+  std::vector<std::string> said;
+  for (int step = 0; step < 100; ++step) {
+    now.steady += Millis(50);
+    std::vector<Effect> effects = controller.Handle(now, batch);
+    batch = {Tick{}};
+    for (const Effect& effect : effects) {
+      if (const auto* line = std::get_if<LogLine>(&effect)) {
+        if (line->text.find("parts_mismatch") != std::string::npos) {
+          said.push_back(line->text);
+        }
+      }
+      const auto* call = std::get_if<StateCall>(&effect);
+      if (call == nullptr) continue;
+      StateReply reply;
+      reply.call = call->call;
+      reply.status = 200;
+      reply.revision = 10;
+      if (std::holds_alternative<ListRead>(call->request)) {
+        reply.changes.push_back(
+            {keys::Part(4), PartRecord{"node-7", "old", ""}, 9});
+      }
+      batch.push_back(reply);
+    }
+  }
+  ASSERT_EQ(said.size(), 1u);
+  EXPECT_NE(said[0].find("stored=5 now=2"), std::string::npos) << said[0];
+  EXPECT_NE(said[0].find("(parts 5)"), std::string::npos) << said[0];
+}
+
+TEST(Drain, KeepsAsManyNamesAsAValueTakes) {
+  std::vector<std::string> names;
+  for (int i = 0; i < 3000; ++i) {
+    names.push_back("m-" + std::to_string(100000 + i));
+  }
+  std::vector<std::string> all = names;
+  KeepWithin(names, 8 * 1024);
+  size_t json = std::string("{\"machines\":[]}").size();
+  for (const std::string& name : names) json += name.size() + 3;
+  EXPECT_LE(json, 8u * 1024);
+  EXPECT_GT(json, 8u * 1024 - 100);
+  EXPECT_TRUE(std::equal(names.begin(), names.end(), all.begin()));
+  KeepWithin(all, 100000);
+  EXPECT_EQ(all.size(), 3000u);
+}
+
 // ---- Segments ----
 
 // Random changes through a small ring, read back from the segments alone after
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -89,6 +89,13 @@
             "node.toml: cluster.workers.cancel_s must be more than lease_s");
   EXPECT_EQ(Why(Replaced("cpus = 0.1", "cpus = -4")),
             "node.toml: cluster.teams[0].cpus must be from 0 to 1000000000");
+  // Limits that cannot work: no value for a record, no socket beyond the peers.
+  EXPECT_EQ(Why(Replaced("value_kb = 8.0", "value_kb = 2.0")),
+            "node.toml: cluster.state.value_kb must be from 5 to 1000000000");
+  EXPECT_EQ(Why(Replaced("txn_ops = 8", "txn_ops = 1")),
+            "node.toml: cluster.state.txn_ops must be from 2 to 1000000");
+  EXPECT_EQ(Why(std::string(kGood) + "[cluster.resources]\nsockets = 99\n"),
+            "node.toml: cluster.resources.sockets must be from 100 to 1000000");
   EXPECT_NE(Why(Replaced("127.0.0.1:8080", "nowhere")).find("front"),
             std::string::npos);
   EXPECT_NE(Why(Replaced("[services]", "[services")).find("node.toml:10"),
