--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -20,10 +20,8 @@
 constexpr Duration kFirstReach = Millis(1000);
 constexpr Duration kReachGap = Millis(2500);
 constexpr int kMostReaches = 6;
-// How many workers are shown the token at the same time, and how many pages of
-// the cloud's list are read on credit.
+// How many workers are shown the token at the same time.
 constexpr int kMostShowing = 32;
-constexpr double kPagesAhead = 5;
 constexpr Duration kLeaseMargin = Millis(500);
 constexpr Duration kCancelMargin = Millis(2000);
 constexpr Duration kAllotmentRest = Millis(5000);
@@ -301,14 +299,11 @@
   if (reaching_ || reaches_ >= kMostReaches || now < next_reach_) return;
   if (!context_.follower.Fresh() || !context_.cloud.Take(now, 1)) return;
   ++reaches_;
-  to_reach_.clear();
-  ListToReach("");
-}
-
-void Part::ListToReach(std::string after) {
   reaching_ = true;
+  // One page at a time, each for a token of its own: pages on credit kept the
+  // leader from renting after restarts.
   context_.out.CallCloud(
-      ListMachines{std::move(after)}, context_.tuning.cloud_timeout,
+      ListMachines{reached_to_}, context_.tuning.cloud_timeout,
       [this, alive = std::weak_ptr<int>(alive_)](const CloudReply& reply) {
         if (alive.expired()) return;
         for (const ListedMachine& listed : reply.listed) {
@@ -318,14 +313,12 @@
             to_reach_.push_back(listed);
           }
         }
-        SteadyTime now = context_.now();
-        if (reply.status == 200 && reply.more && !reply.listed.empty() &&
-            context_.cloud.Take(now, 1, -kPagesAhead)) {
-          ListToReach(reply.listed.back().name);
-          return;
+        if (reply.status == 200) {
+          bool more = reply.more && !reply.listed.empty();
+          reached_to_ = more ? reply.listed.back().name : "";
         }
         reaching_ = false;
-        next_reach_ = now + kReachGap;
+        next_reach_ = context_.now() + kReachGap;
       });
 }
 
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -115,7 +115,6 @@
   // After a takeover: workers that still answer to an earlier owner are shown
   // the new token, so that they look for the new one.
   void ReachWorkers();
-  void ListToReach(std::string after);
   void ShowTokens();
   void ShowToken(const ListedMachine& listed);
   void CheckMachines();
@@ -197,6 +196,7 @@
   SteadyTime next_delete_{};
   bool reaching_ = false;
   int reaches_ = 0;
+  std::string reached_to_;  // in the cloud's list
   std::deque<ListedMachine> to_reach_;
   int showing_ = 0;  // calls to workers under way for this
   SteadyTime next_reach_{};
