The simulation's outages, hangs and restarts of all are one piece of code each

The fleet's troubles had written them again beside the older ones. Same draws in the same order; the tests and what they assert are unchanged.

--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -765,17 +765,10 @@
       CrashNode(index, Between(0.05, config_.longest_down_s));
       break;
     case 1:
-      for (size_t i = 0; i < config_.nodes; ++i)
-        CrashNode(i, Between(0.05, config_.longest_down_s));
+      CrashAllNodes();
       break;
     case 2:
-      Note("the state service is away");
-      state_outage_ = true;
-      After(Between(1, 12), [this] {
-        state_outage_ = false;
-        state_.RenewAll(now_);
-        Note("the state service is back");
-      });
+      StopState(Between(1, 12));
       break;
     case 3:
       Note(fmt::format("node {} loses the state service", index));
@@ -807,11 +800,7 @@
       if (!machines_.empty()) {
         std::string name = PickMachine();
         Note(name + " hangs");
-        machines_[name]->worker->hanging = true;
-        After(Between(1, 12), [this, name] {
-          auto found = machines_.find(name);
-          if (found != machines_.end()) found->second->worker->hanging = false;
-        });
+        Hang(name, Between(1, 12));
       }
       break;
     default:
@@ -828,6 +817,30 @@
   After(Between(0.2 * mean, 1.8 * mean), [this] { Trouble(); });
 }
 
+void World::StopState(Duration how_long) {
+  Note("the state service is away");
+  state_outage_ = true;
+  After(how_long, [this] {
+    state_outage_ = false;
+    state_.RenewAll(now_);
+    Note("the state service is back");
+  });
+}
+
+void World::CrashAllNodes() {
+  for (size_t i = 0; i < config_.nodes; ++i) {
+    CrashNode(i, Between(0.05, config_.longest_down_s));
+  }
+}
+
+void World::Hang(const std::string& name, Duration how_long) {
+  machines_[name]->worker->hanging = true;
+  After(how_long, [this, name] {
+    auto found = machines_.find(name);
+    if (found != machines_.end()) found->second->worker->hanging = false;
+  });
+}
+
 const std::string& World::PickMachine() {
   auto it = std::next(machines_.begin(),
                       static_cast<ptrdiff_t>(Pick(machines_.size())));
@@ -904,23 +917,13 @@
     case 3:
       Note("many machines hang");
       for (const std::string& name : PickMachines(0.4)) {
-        machines_[name]->worker->hanging = true;
-        After(Between(3, 15), [this, name] {
-          auto found = machines_.find(name);
-          if (found != machines_.end()) found->second->worker->hanging = false;
-        });
+        Hang(name, Between(3, 15));
       }
       break;
     default:
       Note("all restart while the state service is away");
-      state_outage_ = true;
-      After(Between(3, 12), [this] {
-        state_outage_ = false;
-        state_.RenewAll(now_);
-      });
-      for (size_t i = 0; i < config_.nodes; ++i) {
-        CrashNode(i, Between(0.05, config_.longest_down_s));
-      }
+      StopState(Between(3, 12));
+      CrashAllNodes();
       break;
   }
 }
@@ -1010,11 +1013,7 @@
       TrySubmit(id, now_);
     });
   }
-  After(Seconds(70), [this] { state_outage_ = true; });
-  After(Seconds(86), [this] {
-    state_outage_ = false;
-    state_.RenewAll(now_);
-  });
+  After(Seconds(70), [this] { StopState(Seconds(16)); });
 }
 
 // A cluster that is full for good: urgent small jobs of the team use up its
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -161,6 +161,9 @@
   void Trouble();
   void MoreTrouble(size_t index);
   void FleetTrouble(size_t index);
+  void StopState(Duration how_long);
+  void CrashAllNodes();
+  void Hang(const std::string& name, Duration how_long);
   std::vector<std::string> PickMachines(double share);
   // Whether nothing passes between the controller and the machine (or, without
   // one, its users).
