--- a/src/core/context.h
+++ b/src/core/context.h
@@ -3,6 +3,7 @@
 #define PITCHFALL_CORE_CONTEXT_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 #include "core/budget.h"
@@ -11,6 +12,7 @@
 #include "core/outbox.h"
 #include "core/room.h"
 #include "core/settings.h"
+#include "core/vouchers.h"
 
 namespace pitchfall {
 
@@ -26,6 +28,10 @@
   std::string life;       // names this process among all that ever ran
   uint32_t parts;         // how many there are
   RoomBook room;
+  Vouchers vouchers;
+  // Jobs that another controller has stored as cancelled and whose records here
+  // do not show it yet. Cancelled jobs stay so, whatever is heard later.
+  std::set<std::string> told_cancelled{};
 
   SteadyTime now() const { return out.now().steady; }
 };
--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -9,7 +9,11 @@
 namespace {
 
 constexpr Duration kHelloGap = Millis(500);
+// After storing a cancellation; more than one in that time share a message.
+constexpr Duration kUrgentHelloGap = Millis(50);
 constexpr Duration kPeerFresh = Millis(2500);
+// Cancellations in one message.
+constexpr size_t kMostCancelled = 500;
 // Reads come several times a second; one that is late means little, a second
 // without any that this controller or the state service has trouble.
 constexpr Duration kHealthyAge = Millis(1200);
@@ -33,13 +37,14 @@
                requests_,
                writes_,
                cloud_,
-               std::move(life),
+               life,
                tuning_.parts > 0
                    ? tuning_.parts
                    : static_cast<uint32_t>(deployment_.peers.size() + 1),
                RoomBook(tuning_.parts > 0 ? tuning_.parts
                                           : static_cast<uint32_t>(
-                                                deployment_.peers.size() + 1))},
+                                                deployment_.peers.size() + 1)),
+               Vouchers(deployment_, deployment_.label, life)},
       ownership_(context_),
       users_(context_) {}
 
@@ -50,6 +55,10 @@
   for (const Command& command : commands) {
     std::visit([this](const auto& c) { On(c); }, command);
   }
+  std::erase_if(context_.told_cancelled, [this](const std::string& id) {
+    const Job* job = mirror_.FindJob(id);
+    return job != nullptr && job->record.final();
+  });
   ShareBudgets();
   ownership_.Step();
   FollowOwnership();
@@ -176,15 +185,29 @@
   // A cut can hold messages back for minutes.
   Duration age = out_.now().wall - hello.sent;
   if (age > kPeerFresh + 2 * deployment_.time_bound) return;
-  peers_[hello.label] = {hello, out_.now().steady};
+  SteadyTime now = out_.now().steady;
+  peers_[hello.label] = {hello, now};
   for (const auto& [part, free] : hello.free) {
-    context_.room.Hear(part, free, out_.now().steady);
+    context_.room.Hear(part, free, now);
+  }
+  for (const std::string& id : hello.cancelled) {
+    const Job* job = mirror_.FindJob(id);
+    if (job != nullptr && job->record.final()) continue;
+    context_.told_cancelled.insert(id);
+  }
+  context_.vouchers.Hear(hello, now, follower_.known_at());
+  for (const auto& [number, token] : hello.tokens) {
+    auto part = parts_.find(number);
+    if (part != parts_.end()) part->second->HearOwner(hello.label, token);
   }
 }
 
 void Controller::ExchangeHellos() {
   SteadyTime now = out_.now().steady;
-  if (now < next_hello_) return;
+  bool urgent = users_.cancelled() != told_cancelled_ &&
+                now - last_hello_ >= kUrgentHelloGap;
+  if (now < next_hello_ && !urgent) return;
+  told_cancelled_ = users_.cancelled();
   double passed = std::max(0.1, ToSeconds(now - last_hello_));
   last_hello_ = now;
   next_hello_ = now + kHelloGap;
@@ -217,9 +240,35 @@
     hello.free[number] = part->Free();
     context_.room.Hear(number, hello.free[number], now);
   }
+  Vouch(hello);
   out_.Send(std::move(hello));
 }
 
+void Controller::Vouch(PeerHello& hello) const {
+  SteadyTime now = out_.now().steady;
+  hello.uptime = now - started_;
+  hello.revision = mirror_.revision();
+  hello.mark = now;
+  for (const auto& [number, part] : parts_) {
+    hello.tokens[number] = part->token();
+  }
+  // One list serves all: what is new to the one who knows least. Who cannot be
+  // served with the others gets no echo.
+  std::vector<std::pair<uint64_t, const Peer*>> by_revision;
+  for (const auto& [label, peer] : peers_) {
+    if (now - peer.heard >= kPeerFresh) continue;
+    by_revision.push_back({peer.hello.revision, &peer});
+  }
+  std::sort(by_revision.rbegin(), by_revision.rend());
+  for (const auto& [revision, peer] : by_revision) {
+    auto cancelled = mirror_.CancelledSince(revision, kMostCancelled);
+    if (!cancelled) break;
+    hello.cancelled = std::move(*cancelled);
+    hello.echoes.push_back(
+        {peer->hello.label, peer->hello.life, peer->hello.mark});
+  }
+}
+
 // Workers that cannot reach their owner go round the other controllers. If this
 // owner has heard none of them for a while and a peer has, the peer takes over.
 void Controller::ConsiderStrays() {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -54,6 +54,9 @@
   void CompareWithStored();
   void ShareBudgets();
   void ExchangeHellos();
+  // What lets the others go on answering their workers, and stop what has been
+  // cancelled, without the state service.
+  void Vouch(PeerHello& hello) const;
   void ConsiderStrays();
   bool Healthy() const;
   static void SendElsewhere(std::vector<Effect>& effects);
@@ -81,6 +84,7 @@
   std::map<std::string, Stray> strays_;
   SteadyTime next_hello_{};
   SteadyTime last_hello_{};
+  uint64_t told_cancelled_ = 0;  // of the cancellations stored here
   double request_use_ = 0;
   double requests_taken_ = 0;
   double write_use_ = 0;
--- a/src/core/machines.cc
+++ b/src/core/machines.cc
@@ -75,7 +75,12 @@
   for (auto& [key, task] : machine.held) {
     bool wanted = policy.wanted(task);
     if (task.stop_sent || (wanted && !task.stop())) continue;
-    if (!task.state || *task.state == TaskState::kExited) continue;
+    // A start that no report shows yet may have been carried out all the same.
+    // If it is still on its way the stop does nothing, and the answer to the
+    // report that shows the task says it again.
+    bool there = task.state ? *task.state != TaskState::kExited
+                            : task.start_sent.has_value();
+    if (!there) continue;
     task.stop_sent = true;
     stops.push_back(StopOrder(key, task, policy));
   }
--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -35,7 +35,7 @@
   bool preempted = false;
   bool at_once = false;  // without saving
   bool stop() const { return leave || preempted; }
-  bool stop_sent = false;  // by a direct command
+  bool stop_sent = false;  // by a direct command that has not failed
   std::optional<TaskState> state;
   std::optional<SteadyTime> running_since;  // as far as this owner has seen
 };
@@ -83,6 +83,7 @@
   std::optional<SteadyTime> taken_at;  // spot notice
   std::optional<SteadyTime> idle_since;
   SteadyTime paused_until{};  // refused a start a moment ago
+  SteadyTime next_stop{};     // a direct command failed a moment ago
   // Jobs whose tasks ended in errors here since the last success.
   std::set<std::string> error_jobs;
   int errors = 0;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -192,6 +192,22 @@
   // What this controller has lately used of the shared rates, a second.
   double requests = 0;
   double writes = 0;
+
+  // The rest bounds how long owners may answer without the state service (see
+  // core/vouchers.h).
+  Duration uptime{0};     // of this process
+  uint64_t revision = 0;  // up to which this controller knows everything
+  SteadyTime mark{};      // the sender's clock; nobody else reads it
+  // The newest mark heard from each controller for which `cancelled` is whole.
+  struct Echo {
+    std::string label;
+    std::string life;
+    SteadyTime mark{};
+  };
+  std::vector<Echo> echoes;
+  // Jobs known to be cancelled since the revisions of those echoed.
+  std::vector<std::string> cancelled;
+  std::map<uint32_t, uint64_t> tokens;  // of the parts that I own
 };
 
 // ---- Commands ----
--- a/src/core/mirror.cc
+++ b/src/core/mirror.cc
@@ -7,6 +7,9 @@
 namespace pitchfall {
 namespace {
 
+// More than controllers tell each other of at once.
+constexpr size_t kMostCancellations = 1000;
+
 bool TakePrefix(std::string_view& key, std::string_view prefix) {
   if (!key.starts_with(prefix)) return false;
   key.remove_prefix(prefix.size());
@@ -89,9 +92,28 @@
   if (!slot) slot = std::make_unique<Job>();
   slot->record = *record;
   slot->stamp = change.stamp;
+  if (record->state == JobState::kCancelled) {
+    cancellations_.insert({change.stamp, id});
+    if (cancellations_.size() > kMostCancellations) {
+      cancellations_from_ = cancellations_.begin()->first;
+      cancellations_.erase(cancellations_.begin());
+    }
+  }
   Refresh(*slot);
 }
 
+std::optional<std::vector<std::string>> Mirror::CancelledSince(
+    uint64_t revision, size_t most) const {
+  if (revision < cancellations_from_) return std::nullopt;
+  std::vector<std::string> cancelled;
+  for (auto it = cancellations_.lower_bound({revision + 1, ""});
+       it != cancellations_.end(); ++it) {
+    if (cancelled.size() >= most) return std::nullopt;
+    cancelled.push_back(it->second);
+  }
+  return cancelled;
+}
+
 void Mirror::ApplySegment(std::string_view part_and_slot,
                           const Change& change) {
   size_t slash = part_and_slot.find('/');
--- a/src/core/mirror.h
+++ b/src/core/mirror.h
@@ -58,6 +58,11 @@
   // Jobs that are not final, or still have tasks bound to machines.
   const std::map<std::string, Job*>& open_jobs() const { return open_jobs_; }
 
+  // Jobs that were cancelled after the revision, up to `most` of them; none if
+  // there may be more.
+  std::optional<std::vector<std::string>> CancelledSince(uint64_t revision,
+                                                         size_t most) const;
+
   const Table<NodeRecord>& nodes() const { return nodes_; }
   const Table<RentalRecord>& rentals() const { return rentals_; }
   const Table<TeamRecord>& teams() const { return teams_; }
@@ -107,6 +112,9 @@
   std::map<std::string, Job*> open_jobs_;
   // Jobs that are over with nothing bound, of which older news may still come.
   std::set<Job*> closing_;
+  // The newest cancellations by stamp, and up to where older ones are left out.
+  std::set<std::pair<uint64_t, std::string>> cancellations_;
+  uint64_t cancellations_from_ = 0;
   std::map<std::pair<uint32_t, uint32_t>, Segment> segments_;  // part, slot
   std::map<uint32_t, int64_t> live_bytes_;                     // by part
   Table<NodeRecord> nodes_;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -16,6 +16,7 @@
 constexpr Duration kPlanGap = Millis(80);
 constexpr Duration kIdlePlanGap = Millis(250);
 constexpr Duration kCommandTimeout = Millis(2000);
+constexpr Duration kStopAgain = Millis(1000);
 // Workers whose owner is gone come by themselves within a few seconds.
 constexpr Duration kFirstReach = Millis(1000);
 constexpr Duration kReachGap = Millis(2500);
@@ -117,7 +118,20 @@
 bool Part::MayAnswer() const {
   const Deployment& d = context_.deployment;
   Duration limit = d.cancel - WithDrift(d.worker_lease) - kCancelMargin;
-  return !superseded_ && context_.follower.Age() < limit;
+  SteadyTime known_until = context_.vouchers.KnownUntil(
+      context_.follower.known_at(), context_.now());
+  return !superseded_ && context_.now() - known_until < limit;
+}
+
+void Part::HearOwner(const std::string& label, uint64_t token) {
+  if (token <= token_) return;
+  if (!superseded_) {
+    context_.out.Log(LogLevel::kInfo, "event=superseded part={} by={} token={}",
+                     number_, label, token);
+  }
+  superseded_ = true;
+  successor_ = label;
+  context_.follower.Want();
 }
 
 void Part::RefuseReport(Machine& machine) {
@@ -133,6 +147,10 @@
     superseded_ = true;
     context_.follower.Want();
   }
+  if (!successor_.empty()) {
+    context_.out.Answer(request, 421, Redirect{successor_});
+    return;
+  }
   if (!MayAnswer()) {
     context_.out.Answer(request, 503, Problem{"not entitled to answer"});
     return;
@@ -263,7 +281,8 @@
 }
 
 bool Part::Wanted(const HeldTask& task) const {
-  return !task.job->record.final();
+  return !task.job->record.final() &&
+         !context_.told_cancelled.contains(task.job->spec().id);
 }
 
 OrderPolicy Part::Policy(const Machine& machine) const {
@@ -279,17 +298,37 @@
 void Part::SendStops() {
   for (auto& [name, machine] : machines_) {
     if (!machine.token_seen || machine.waiting != 0 || machine.gone ||
-        machine.address.empty()) {
+        machine.address.empty() || context_.now() < machine.next_stop) {
       continue;
     }
     std::vector<Order> stops = MakeDirectStops(machine, Policy(machine));
     if (stops.empty()) continue;
+    auto handler = [this, name = name, stops,
+                    alive =
+                        std::weak_ptr<int>(alive_)](const WorkerReply& reply) {
+      if (!alive.expired()) OnStopped(name, stops, reply);
+    };
     context_.out.CallWorker(
         machine.address,
         CommandWorker{token_, machine.report->session, std::move(stops)},
-        kCommandTimeout,
-        // The worker reports the change; answers to reports repeat the stops.
-        [](const WorkerReply&) {});
+        kCommandTimeout, std::move(handler));
+  }
+}
+
+// The worker reports what has changed, and answers to reports repeat stops. But
+// one that reaches no controller reports nothing, and a stop that was lost on
+// it has to be sent again.
+void Part::OnStopped(const std::string& name, const std::vector<Order>& stops,
+                     const WorkerReply& reply) {
+  if (reply.report && reply.report->token > token_) superseded_ = true;
+  if (reply.status == 200) return;
+  auto machine = machines_.find(name);
+  if (machine == machines_.end()) return;
+  machine->second.next_stop = context_.now() + kStopAgain;
+  for (const Order& stop : stops) {
+    auto held = machine->second.held.find({stop.job, stop.task});
+    if (held == machine->second.held.end()) continue;
+    if (held->second.attempt == stop.attempt) held->second.stop_sent = false;
   }
 }
 
@@ -404,6 +443,10 @@
 void Part::CheckMachines() {
   SteadyTime now = context_.now();
   Duration lease = WithDrift(context_.deployment.worker_lease) + kLeaseMargin;
+  // What an earlier owner last answered on (MayAnswer) it knew before this
+  // ownership began, or it would have known of that. The leases that it renewed
+  // have run out by now, whether or not their workers can be asked.
+  bool former_over = now - owned_since_ > WithDrift(context_.deployment.cancel);
   for (auto it = machines_.begin(); it != machines_.end();) {
     Machine& machine = it->second;
     bool chosen = context_.mirror.Draining(machine.name);
@@ -414,13 +457,19 @@
                        chosen ? "drain" : "keep", machine.name,
                        machine.held.size());
     }
-    if (!machine.gone && machine.token_seen && machine.waiting == 0 &&
-        now - machine.last_answer > lease) {
+    bool answered = machine.last_answer != SteadyTime{};
+    bool lease_over =
+        answered && machine.waiting == 0 && now - machine.last_answer > lease;
+    bool unheard = !machine.report && !machine.held.empty();
+    bool lost = machine.token_seen ? lease_over
+                                   : former_over && (unheard || lease_over);
+    if (!machine.gone && lost) {
       machine.gone = true;
       dirty_ = true;
-      context_.out.Log(LogLevel::kWarning,
-                       "event=worker_lost machine={} proof=lease tasks={}",
-                       machine.name, machine.held.size());
+      context_.out.Log(
+          LogLevel::kWarning, "event=worker_lost machine={} proof={} tasks={}",
+          machine.name, machine.token_seen ? "lease" : "former_owner",
+          machine.held.size());
     }
     if (machine.drain || machine.sick) {
       // Services would never end: they go on elsewhere.
@@ -884,6 +933,7 @@
     auto since = waiting_since_.find(spec.id);
     waiting[spec.id] = since == waiting_since_.end() ? now : since->second;
     waiting_since_.emplace(spec.id, now);
+    if (context_.told_cancelled.contains(spec.id)) continue;
     auto health = job_health_.find(spec.id);
     if (health != job_health_.end() && now < health->second.retry_at) continue;
     ZoneUse use;
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -36,6 +36,8 @@
 
   void CheckIn(RequestId request, const WorkerReport& report);
   void Step();
+  // Another controller says that it owns the part, and by which token.
+  void HearOwner(const std::string& label, uint64_t token);
 
   void OnChunk(const Job& job, uint32_t chunk, const Job::Chunk* before,
                const Job::Chunk* after) override;
@@ -112,6 +114,8 @@
   OrderPolicy Policy(const Machine& machine) const;
   // Stops go to the workers at once.
   void SendStops();
+  void OnStopped(const std::string& name, const std::vector<Order>& stops,
+                 const WorkerReply& reply);
   // After a takeover: workers that still answer to an earlier owner are shown
   // the new token, so that they look for the new one.
   void ReachWorkers();
@@ -165,7 +169,9 @@
   const uint32_t number_;
   const uint64_t token_;
   bool adopting_ = true;  // while the chunks of earlier owners are read in
+  // A later owner is known of, though the state does not show it here yet.
   bool superseded_ = false;
+  std::string successor_;  // if it has told so itself
   SteadyTime owned_since_;
   SteadyTime last_heard_;
 
--- a/src/core/users.cc
+++ b/src/core/users.cc
@@ -263,6 +263,7 @@
       context_.mirror.Apply({write.key, write.value, reply.revision});
     }
     for (const Change& change : batch) {
+      cancelled_ += change.cancel;
       JobAnswer answer;
       answer.id = change.job;
       answer.status = change.cancel ? JobAnswer::Status::kCancelled
--- a/src/core/users.h
+++ b/src/core/users.h
@@ -20,6 +20,8 @@
   void Poll(RequestId request, const std::string& job);
   void Cancel(RequestId request, const std::string& job);
   void Step();
+  // How many cancellations this process has stored.
+  uint64_t cancelled() const { return cancelled_; }
 
  private:
   struct Change {
@@ -55,6 +57,7 @@
   SteadyTime next_store_{};
   std::vector<WaitingPoll> polls_;  // for the next reading
   bool serving_polls_ = false;
+  uint64_t cancelled_ = 0;
 };
 
 }  // namespace pitchfall
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -3,8 +3,8 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("pitchfall::wire::schema");
 
-# What controllers tell each other, twice a second. Nothing in it is needed for
-# the rules; it only makes decisions better informed.
+# What controllers tell each other, twice a second, and at once when one of them
+# has stored a cancellation.
 struct Hello {
   label @0 :Text;
   life @1 :Text;
@@ -14,6 +14,25 @@
   free @5 :List(Room);
   requests @6 :Float64;
   writes @7 :Float64;
+  uptimeMicros @8 :Int64;
+  revision @9 :UInt64;
+  markMicros @10 :Int64;
+  echoes @11 :List(Echo);
+  cancelled @12 :List(Text);
+  tokens @13 :List(Token);
+}
+
+# The newest mark that the sender has heard from a controller's life.
+struct Echo {
+  label @0 :Text;
+  life @1 :Text;
+  markMicros @2 :Int64;
+}
+
+# Of a part that the sender owns.
+struct Token {
+  part @0 :UInt32;
+  token @1 :UInt64;
 }
 
 # Processors of a part that are free for tasks of 1, 2, 4 ... processors.
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -11,7 +11,7 @@
 namespace pitchfall::wire {
 namespace {
 
-constexpr size_t kMostBytes = 16 * 1024;
+constexpr size_t kMostBytes = 64 * 1024;
 constexpr size_t kWord = sizeof(capnp::word);
 
 kj::Array<capnp::word> Aligned(std::string_view data) {
@@ -54,6 +54,26 @@
   }
   root.setRequests(hello.requests);
   root.setWrites(hello.writes);
+  root.setUptimeMicros(hello.uptime.count());
+  root.setRevision(hello.revision);
+  root.setMarkMicros(hello.mark.time_since_epoch().count());
+  auto echoes = root.initEchoes(static_cast<unsigned>(hello.echoes.size()));
+  for (unsigned i = 0; i < echoes.size(); ++i) {
+    echoes[i].setLabel(hello.echoes[i].label);
+    echoes[i].setLife(hello.echoes[i].life);
+    echoes[i].setMarkMicros(hello.echoes[i].mark.time_since_epoch().count());
+  }
+  auto cancelled =
+      root.initCancelled(static_cast<unsigned>(hello.cancelled.size()));
+  for (unsigned i = 0; i < cancelled.size(); ++i) {
+    cancelled.set(i, hello.cancelled[i]);
+  }
+  auto tokens = root.initTokens(static_cast<unsigned>(hello.tokens.size()));
+  count = 0;
+  for (const auto& [part, token] : hello.tokens) {
+    tokens[count].setPart(part);
+    tokens[count++].setToken(token);
+  }
   auto words = capnp::messageToFlatArray(builder);  // owns the bytes
   auto bytes = words.asBytes();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
@@ -86,6 +106,17 @@
     }
     hello.requests = root.getRequests();
     hello.writes = root.getWrites();
+    hello.uptime = Duration(root.getUptimeMicros());
+    hello.revision = root.getRevision();
+    hello.mark = SteadyTime(Duration(root.getMarkMicros()));
+    for (auto echo : root.getEchoes()) {
+      hello.echoes.push_back({echo.getLabel().cStr(), echo.getLife().cStr(),
+                              SteadyTime(Duration(echo.getMarkMicros()))});
+    }
+    for (auto id : root.getCancelled()) hello.cancelled.push_back(id.cStr());
+    for (auto token : root.getTokens()) {
+      hello.tokens[token.getPart()] = token.getToken();
+    }
     if (!(hello.requests >= 0) || !(hello.writes >= 0)) return std::nullopt;
     return hello;
   } catch (const kj::Exception&) {
