Jobs bound by zone run in several parts: a start of theirs renews the job's record

Its chunks are given away like others' now; where they belong to several parts each start also writes the job's record anew, on its stamp, so that two starts that do not know of each other cannot both be stored.

--- a/src/core/jobs.h
+++ b/src/core/jobs.h
@@ -49,8 +49,15 @@
     uint32_t turn = chunk % std::max(1u, record.spread_over);
     return {(record.home + turn) % parts, 0};
   }
-  // Jobs whose tasks' places depend on each other: one part runs all of them.
+  // Jobs whose tasks' places depend on each other.
   bool constrained() const { return spec().one_zone || spec().spread; }
+  // Whether chunks of it belong to several parts.
+  bool shared(uint32_t parts) const {
+    for (uint32_t chunk = 1; chunk < record.chunk_count(); ++chunk) {
+      if (owner_of(chunk, parts).part != owner_of(0, parts).part) return true;
+    }
+    return false;
+  }
   const Chunk* FindChunk(uint32_t chunk) const {
     auto it = chunks.find(chunk);
     return it == chunks.end() ? nullptr : &it->second;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -761,6 +761,8 @@
         draft.starting.size() >= most_starting_) {
       return Placed::kNoQuota;
     }
+    bool serialise = Serialised(job) && !draft.serialised.contains(&job);
+    if (serialise && draft.others() >= draft_limit_) return Placed::kNoQuota;
     if (!MayTouch(draft, job, chunk)) return Placed::kNoQuota;
     Machine* machine = ChooseMachine(spec, tasks - CountTasks(taken), use, open,
                                      avoid, hurried, widest_);
@@ -774,6 +776,7 @@
     ++on;
     AddTask(taken, task);
     draft.starting.insert(&job);
+    if (serialise) draft.serialised.insert(&job);
     machine->planned += spec.need;
     machine->planned_images.insert(spec.image);
     team_planned_[spec.team] += spec.need;
@@ -818,7 +821,7 @@
 // be what it needs.
 void Part::DraftMoves(Draft& draft, const Job& job) {
   if (context_.parts == 1 || draft.others() >= draft_limit_) return;
-  bool whole = job.constrained() || job.spec().shape == Shape::kGang;
+  bool whole = job.spec().shape == Shape::kGang;
   if (whole && job.assigned > 0) return;
   SteadyTime now = context_.now();
   SteadyTime since = waiting_since_[job.spec().id];
@@ -1052,6 +1055,10 @@
     record.owners = owners;
     put(keys::Job(id), std::move(record), RecordBytes(job->spec()));
   }
+  for (const Job* job : draft.serialised) {
+    if (draft.moves.contains(job->spec().id)) continue;
+    put(keys::Job(job->spec().id), job->record, RecordBytes(job->spec()));
+  }
   for (const auto& [id, stamp] : jobs) {
     txn.conditions.push_back({keys::Job(id), stamp});
   }
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -62,6 +62,10 @@
     };
     std::map<ChunkKey, ChunkChange> chunks;
     std::set<const Job*> starting;
+    // Those of them whose tasks' places depend on what other parts start: the
+    // job's record is written anew, so that of two such starts that do not know
+    // of each other the second fails.
+    std::set<const Job*> serialised;
     // New owners of these jobs' chunks.
     std::map<std::string, std::vector<ChunkOwner>> moves;
     std::map<std::string, TeamRecord> teams;
@@ -75,7 +79,8 @@
     uint32_t starts = 0;
     // Puts beside those of the segments.
     size_t others() const {
-      return teams.size() + done_jobs.size() + moves.size() + (load ? 1 : 0);
+      return teams.size() + done_jobs.size() + moves.size() +
+             serialised.size() + (load ? 1 : 0);
     }
     bool empty() const { return chunks.empty() && others() == 0; }
   };
@@ -147,6 +152,10 @@
   bool Owns(const Job& job, uint32_t chunk) const {
     return job.owner_of(chunk, context_.parts).part == number_;
   }
+  // Whether a start of the job's tasks must not pass by another part's.
+  bool Serialised(const Job& job) const {
+    return job.constrained() && job.shared(context_.parts);
+  }
   // Gives chunks that wait here for room to parts that have some.
   void DraftMoves(Draft& draft, const Job& job);
   enum class Placed : uint8_t { kAll, kNoMachine, kNoQuota };
