--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -17,6 +17,12 @@
 // The protocol's bound is 90 s; the operators' is 75 s once troubles are over.
 constexpr Duration kForgottenAfter = Millis(75000);
 constexpr Duration kDeletionKnown = Millis(8000);
+// The operators' bound on waiting beside room.
+constexpr Duration kLeftWaiting = Millis(90000);
+constexpr Duration kLargestBegun = Millis(240000);
+// A start may be on its way when a cancellation is confirmed: sent on what was
+// known two seconds before, in an answer that the worker takes for four.
+constexpr Duration kStartOnItsWay = Millis(6500);
 constexpr char kLargeJob[] = "run-900000";
 
 Deployment MakeDeployment(const WorldConfig& config) {
@@ -79,6 +85,10 @@
   bool submitted = false;
   std::optional<SteadyTime> accepted;  // when its user was told
   bool asked_cancel = false;
+  bool asked_by_name = false;  // by CancelAtEnd or CancelNow
+  std::optional<SteadyTime> begun;
+  int starts = 0;
+  SteadyTime moved{};  // last start, or no room for one
   std::optional<SteadyTime> cancelled;
   std::optional<SteadyTime> told_done;
   std::optional<SteadyTime> answered;  // the last question about it
@@ -96,8 +106,8 @@
       cloud_(standins::Cloud::Config{.capacity = config.capacity}) {
   state_.ignore_conditions = config_.state_ignores_conditions;
   cloud_.on_rent = [this](const standins::Cloud::Machine& machine) {
-    Duration boot = Between(1, 4);
-    if (Chance() < 0.05) return;  // never comes up
+    Duration boot = config_.quick_boots ? Millis(100) : Between(1, 4);
+    if (!config_.quick_boots && Chance() < 0.05) return;  // never comes up
     After(boot, [this, machine] {
       if (cloud_.machines().contains(machine.name)) AddMachine(machine);
     });
@@ -121,7 +131,9 @@
   if (config_.isolate_a_node) After(Seconds(30), [this] { IsolateNode(); });
   if (config_.crowded) AddCrowd();
   if (config_.wide_jobs > 0) AddWideJobs();
+  if (config_.odd_requests) After(Seconds(2), [this] { SendOddRequest(); });
   After(Seconds(1), [this] { CheckForgotten(); });
+  After(Seconds(1), [this] { CheckWaiting(); });
 }
 
 World::~World() {
@@ -152,6 +164,7 @@
     event.what();
     CheckCancelled();
   }
+  CheckServed();
   for (const auto& [id, job] : jobs_) {
     if (!job->accepted || job->final()) continue;
     const JobSpec& spec = job->spec;
@@ -335,6 +348,13 @@
     }
     return;
   }
+  bool writes = std::holds_alternative<Transaction>(call.request);
+  if (writes && now_ < late_writes_until_ && Chance() < late_writes_) {
+    After(Between(2, 12), [this, execute] {
+      if (!state_outage_) execute();
+    });
+    return;
+  }
   double luck = Chance();
   if (luck < config_.late_copy) {
     After(Between(2, 15), [this, execute] {
@@ -401,6 +421,9 @@
   for (const std::string& name : deaf_) {
     if (call.address == "addr-" + name + ":1") return;
   }
+  for (const auto& [name, until] : deaf_until_) {
+    if (now_ < until && call.address == "addr-" + name + ":1") return;
+  }
   After(Hop(), [this, execute, answer] {
     auto reply = execute();
     if (!reply) return;
@@ -492,7 +515,10 @@
   if (box.worker->Advance(now_)) {
     box.next_report = std::min(box.next_report, box.last_report + Millis(500));
   }
-  if (!box.waiting && !box.worker->hanging && now_ >= box.next_report) {
+  auto mute = mute_until_.find(name);
+  bool reaches = mute == mute_until_.end() || now_ >= mute->second;
+  if (!box.waiting && !box.worker->hanging && now_ >= box.next_report &&
+      reaches) {
     Report(name);
   }
   After(Seconds(config_.machine_step_s), [this, name] { StepMachine(name); });
@@ -523,7 +549,9 @@
           return;
         }
         Box& b = *it->second;
-        if (deaf_.contains(name)) reply.reset();
+        auto deaf = deaf_until_.find(name);
+        bool hears = deaf == deaf_until_.end() || now_ >= deaf->second;
+        if (deaf_.contains(name) || !hears) reply.reset();
         b.waiting = false;
         b.next_report =
             now_ + Between(0.75 * config_.report_s, 1.25 * config_.report_s);
@@ -552,11 +580,26 @@
                    standins::Worker::TaskEvent event) {
   size_t slash = task.rfind('/');
   JobModel& job = *jobs_.at(task.substr(0, slash));
+  if (event == standins::Worker::TaskEvent::kLaunched) {
+    if (job.cancelled && now_ > *job.cancelled + kStartOnItsWay) {
+      Violation("started_cancelled", task + " launched on " + machine);
+    }
+    return;
+  }
+  if (event == standins::Worker::TaskEvent::kLost) {
+    ++lost_with_lease_;
+    return;
+  }
   std::set<std::string>& where =
       task_on_.try_emplace(task, OnMachines{&job, {}}).first->second.machines;
   if (event == standins::Worker::TaskEvent::kDone) {
     job.finished.insert(
         static_cast<uint32_t>(std::stoul(task.substr(slash + 1))));
+    if (job.finished.size() == job.spec.tasks && !job.asked_cancel &&
+        Chance() < cancel_at_end_) {
+      // About when its end is stored.
+      After(Between(0, 1), [this, id = job.spec.id] { TryCancel(id); });
+    }
     return;
   }
   if (event == standins::Worker::TaskEvent::kOff) {
@@ -565,6 +608,10 @@
     return;
   }
   ++starts_;
+  ++job.starts;
+  job.moved = now_;
+  if (!job.begun) job.begun = now_;
+  if (job.cancelled) ++starts_after_cancellation_;
   if (job.spec.id == kLargeJob && !large_begun_) {
     large_begun_ = ToSeconds(now_ - *job.accepted);
   }
@@ -833,6 +880,147 @@
   }
 }
 
+void World::CrashAllNodes(double down_s) {
+  for (size_t i = 0; i < config_.nodes; ++i) CrashNode(i, Seconds(down_s));
+}
+
+size_t World::OwnerOf(uint32_t part) const {
+  auto entry = state_.entries().find("pf/parts/" + std::to_string(part));
+  if (entry == state_.entries().end()) return 0;
+  // Any controller's copy tells; the state service holds the wire's form.
+  for (const auto& node : nodes_) {
+    if (!node->controller) continue;
+    const auto* record = node->controller->mirror().FindPart(part);
+    if (record == nullptr || record->stamp != entry->second.stamp) continue;
+    for (size_t i = 0; i < config_.nodes; ++i) {
+      if (Label(i) == record->value.label) return i;
+    }
+  }
+  return 0;
+}
+
+void World::CutNode(size_t index, Cut cut, double seconds) {
+  Node& node = *nodes_[index];
+  Note(fmt::format("node {} cut: state={} workers={} peers={} hold={}", index,
+                   cut.state, cut.workers, cut.peers, cut.hold));
+  SteadyTime until = now_ + Seconds(seconds);
+  node.hold = cut.hold;
+  if (cut.state) node.state_cut_until = until;
+  if (cut.workers) node.worker_cut_until = until;
+  if (cut.peers) node.peer_cut_until = until;
+}
+
+void World::LateWrites(double share, double seconds) {
+  Note("writes are carried out late");
+  late_writes_ = share;
+  late_writes_until_ = now_ + Seconds(seconds);
+}
+
+void World::SlowState(double seconds) {
+  Note("the state service is slow");
+  state_slow_until_ = now_ + Seconds(seconds);
+}
+
+void World::FreezeNode(size_t index, double seconds) {
+  Note(fmt::format("node {} stands still", index));
+  nodes_[index]->frozen_until = now_ + Seconds(seconds);
+}
+
+void World::SlowNode(size_t index, double seconds) {
+  Note(fmt::format("node {} is slow", index));
+  nodes_[index]->slow_until = now_ + Seconds(seconds);
+}
+
+void World::StopCloud(double seconds) {
+  Note("the cloud is away");
+  cloud_.outage = true;
+  After(Seconds(seconds), [this] { cloud_.outage = false; });
+}
+
+void World::CutZone(double seconds, bool hold) {
+  Note("zone b is cut off from everything");
+  zone_cut_until_ = now_ + Seconds(seconds);
+  zone_hold_ = hold;
+  for (size_t i = 1; i < config_.nodes; i += 2) {
+    CutNode(i, {.state = true, .peers = true, .hold = hold}, seconds);
+  }
+}
+
+void World::CutMachines(double share, double seconds, bool hold) {
+  Note("many machines are cut off");
+  zone_hold_ = hold;
+  for (const std::string& name : PickMachines(share)) {
+    cut_until_[name] = now_ + Seconds(seconds);
+  }
+}
+
+void World::HangMachines(double share, double seconds) {
+  Note("many machines hang");
+  for (const std::string& name : PickMachines(share)) {
+    Hang(name, Seconds(seconds));
+  }
+}
+
+void World::DeafenMachines(double share, double seconds) {
+  Note("machines hear nothing");
+  for (const std::string& name : PickMachines(share)) {
+    deaf_until_[name] = now_ + Seconds(seconds);
+  }
+}
+
+void World::MuteMachines(double share, double seconds) {
+  Note("machines reach no controller");
+  for (const std::string& name : PickMachines(share)) {
+    mute_until_[name] = now_ + Seconds(seconds);
+  }
+}
+
+void World::KillMachines(double share) {
+  for (const std::string& name : PickMachines(share)) {
+    Note(name + " dies");
+    machines_.erase(name);
+    After(Seconds(10),
+          [this, name] { cloud_.SetStatus(name, "failed", now_); });
+  }
+}
+
+void World::CancelNow(int count, double hang_s) {
+  Note("users call jobs off");
+  std::set<std::string> chosen;
+  for (const auto& [task, on] : task_on_) {
+    if (on.machines.empty() || on.job->asked_cancel || on.job->final()) {
+      continue;
+    }
+    if (static_cast<int>(chosen.size()) >= count) break;
+    chosen.insert(on.job->spec.id);
+    if (hang_s > 0) Hang(*on.machines.begin(), Seconds(hang_s));
+  }
+  for (const std::string& id : chosen) {
+    jobs_[id]->asked_cancel = true;
+    After(Between(0, 0.2), [this, id] { TryCancel(id); });
+  }
+}
+
+JobSpec& World::AddJobAt(double second, const std::string& id, uint32_t tasks,
+                         double run_s) {
+  JobModel& job = AddPlainJob(id, tasks, run_s);
+  After(Seconds(second), [this, id] {
+    jobs_[id]->submitted = true;
+    TrySubmit(id, now_);
+  });
+  return job.spec;
+}
+
+int World::cancelled() const {
+  return static_cast<int>(std::count_if(
+      jobs_.begin(), jobs_.end(),
+      [](const auto& entry) { return entry.second->cancelled.has_value(); }));
+}
+
+int World::starts_of(const std::string& job) const {
+  return jobs_.at(job)->starts;
+}
+
 void World::Hang(const std::string& name, Duration how_long) {
   machines_[name]->worker->hanging = true;
   After(how_long, [this, name] {
@@ -1071,4 +1259,125 @@
   }
 }
 
+// Whether a machine that fits has room for a task of the job that is neither
+// done nor running, and its team may use more.
+bool World::CouldStart(const JobModel& job) const {
+  const JobSpec& spec = job.spec;
+  uint32_t on = 0;
+  double team = 0;
+  std::map<std::string, double> used;
+  std::map<std::string, uint32_t> zones;
+  for (const auto& [task, where] : task_on_) {
+    for (const std::string& machine : where.machines) {
+      used[machine] += where.job->info.cpus;
+      if (where.job->spec.team == spec.team) team += where.job->info.cpus;
+      if (where.job != &job) continue;
+      ++on;
+      auto box = machines_.find(machine);
+      if (box != machines_.end()) zones[box->second->zone] += 1;
+    }
+  }
+  if (job.finished.size() + on >= spec.tasks) return false;
+  if (team + job.info.cpus > config_.team_limit) return false;
+  for (const auto& [name, box] : machines_) {
+    const standins::Worker& worker = *box->worker;
+    if (worker.config().sick || worker.hanging || deaf_.contains(name)) {
+      continue;
+    }
+    if (used[name] + job.info.cpus > worker.config().cpus) continue;
+    if (box->spot && !spec.spot) continue;
+    if (!spec.zone.empty() && spec.zone != box->zone) continue;
+    if (spec.one_zone && !zones.empty() && !zones.contains(box->zone)) continue;
+    if (spec.spread && zones[box->zone] >= (spec.tasks + 1) / 2) continue;
+    return true;
+  }
+  return false;
+}
+
+void World::CheckWaiting() {
+  for (auto& [id, job] : jobs_) {
+    if (!job->accepted || job->final() || job->asked_cancel) continue;
+    job->moved = std::max({job->moved, *job->accepted, calm_since_});
+    if (now_ < job->moved) continue;
+    if (!CouldStart(*job)) job->moved = now_;
+    if (now_ - job->moved <= kLeftWaiting) continue;
+    Violation("left_waiting", id + " beside a machine with room");
+    job->moved = now_ + Seconds(1000);  // said once
+  }
+  After(Seconds(1), [this] { CheckWaiting(); });
+}
+
+void World::CheckServed() {
+  struct Count {
+    int accepted = 0;
+    int served = 0;
+  };
+  std::map<std::string, Count> counts;
+  std::map<std::string, const JobModel*> largest;  // by class
+  for (const auto& [id, job] : jobs_) {
+    if (!job->accepted || job->asked_cancel) continue;
+    for (const std::string& of :
+         {"class " + job->spec.job_class, "team " + job->spec.team}) {
+      counts[of].accepted += 1;
+      counts[of].served += job->told_done.has_value();
+    }
+    const JobModel*& most = largest[job->spec.job_class];
+    if (most == nullptr || most->spec.tasks < job->spec.tasks) most = job.get();
+  }
+  for (const auto& [of, count] : counts) {
+    if (2 * count.served >= count.accepted) continue;
+    Violation("unserved",
+              fmt::format("{}: {} of {}", of, count.served, count.accepted));
+  }
+  for (const auto& [name, job] : largest) {
+    if (now_ - *job->accepted < kLargestBegun) continue;
+    SteadyTime due = std::max(*job->accepted, calm_since_) + kLargestBegun;
+    if (!job->begun || *job->begun > due) {
+      Violation("unserved", job->spec.id + " has not begun");
+    }
+  }
+}
+
+// What no controller may accept: a team that is not there, more than any
+// machine has, a zone that no type has. (Fields that lack are the codec's.)
+void World::SendOddRequest() {
+  JobSpec spec;
+  spec.id = fmt::format("run-95{:04}", Pick(10000));
+  spec.job_class = "odd";
+  spec.team = "red";
+  spec.tasks = 2;
+  spec.need = Resources::FromDecimals(1, 0, 1);
+  spec.image = "img-0";
+  spec.estimate = Seconds(1);
+  spec.spot = true;
+  switch (Pick(3)) {
+    case 0:
+      spec.team = "nobody";
+      break;
+    case 1:
+      spec.need = Resources::FromDecimals(64, 0, 1);
+      break;
+    default:
+      spec.zone = "nowhere";
+      break;
+  }
+  Ask(
+      Pick(config_.nodes),
+      [spec](RequestId request) -> Command {
+        return SubmitJob{request, spec};
+      },
+      Seconds(5), "",
+      [this, spec](std::optional<Reply> reply) {
+        int status = reply ? reply->status : 0;
+        if (status == 200 || status == 201) {
+          Violation("accepted_odd", spec.id + " can never run");
+        }
+      });
+  // Repeats of whatever there is, and cancellations of what is done.
+  auto any = std::next(jobs_.begin(), static_cast<ptrdiff_t>(Pick(jobs_.size())));
+  if (any->second->accepted) TrySubmit(any->first, now_);
+  if (any->second->told_done) TryCancel(any->first);
+  After(Between(0.5, 2), [this] { SendOddRequest(); });
+}
+
 }  // namespace pitchfall::sim
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -69,6 +69,12 @@
   double sick_share = 0.04;  // of the machines fail all that they start
   uint32_t txn_ops = 8;
   double value_kb = 8;
+  // Each machine that is rented is up at once, so that a meeting of troubles
+  // finds the same machines whatever the seed.
+  bool quick_boots = false;
+  // Now and then users send what must be refused, repeat submissions of jobs
+  // that run, and cancel jobs that are done.
+  bool odd_requests = false;
   // Faults put in on purpose, to show that the checks notice.
   bool state_ignores_conditions = false;
   bool workers_ignore_stops = false;
@@ -85,6 +91,47 @@
   // Plays the whole schedule.
   void Run();
 
+  // For schedules that bring one meeting of troubles about: what is to happen
+  // so many seconds after the start.
+  void At(double second, std::function<void()> what) {
+    After(Seconds(second), std::move(what));
+  }
+  // Who owns the part by the state service; the owner of part 0 leads.
+  size_t OwnerOf(uint32_t part) const;
+  struct Cut {
+    bool state = false;
+    bool workers = false;
+    bool peers = false;
+    bool hold = false;  // instead of losing messages
+  };
+  void CutNode(size_t index, Cut cut, double seconds);
+  void StopState(Duration how_long);
+  // Transactions get no answer and are carried out 2 to 12 s later.
+  void LateWrites(double share, double seconds);
+  void SlowState(double seconds);
+  void CrashNode(size_t index, Duration down);
+  void CrashAllNodes(double down_s);
+  void FreezeNode(size_t index, double seconds);
+  void SlowNode(size_t index, double seconds);
+  void StopCloud(double seconds);
+  void CutZone(double seconds, bool hold);
+  void CutMachines(double share, double seconds, bool hold);
+  void HangMachines(double share, double seconds);
+  // They report, but hear nothing; or reach no controller, but take commands.
+  void DeafenMachines(double share, double seconds);
+  void MuteMachines(double share, double seconds);
+  void KillMachines(double share);
+  // Users call off that many jobs that run and have long to go; their machines
+  // hang so long.
+  void CancelNow(int count, double hang_s);
+  void CancelAtEnd(double share) { cancel_at_end_ = share; }
+  // A job without constraints, submitted at that second.
+  JobSpec& AddJobAt(double second, const std::string& id, uint32_t tasks,
+                    double run_s);
+  // What is hopped over from here on counts as calm for the checks that only
+  // hold once troubles are over.
+  void CalmFrom(double second) { calm_since_ = now_ + Seconds(second); }
+
   const std::vector<std::string>& violations() const { return violations_; }
   int accepted() const;
   int finished() const;
@@ -103,6 +150,13 @@
   // The most calls to workers that one turn of a controller made.
   size_t most_worker_calls() const { return most_worker_calls_; }
   uint64_t state_calls() const { return state_calls_; }
+  // Tasks that started after their user had been told that the job is
+  // cancelled, a start that was on its way by then included.
+  int starts_after_cancellation() const { return starts_after_cancellation_; }
+  // Tasks lost with a session that ended because nobody answered in time.
+  int lost_with_lease() const { return lost_with_lease_; }
+  int cancelled() const;
+  int starts_of(const std::string& job) const;
 
  private:
   struct Node;
@@ -125,7 +179,6 @@
   // Controllers.
   void StartNode(size_t index);
   void TickNode(size_t index, uint64_t life);
-  void CrashNode(size_t index, Duration down);
   void Deliver(size_t index, uint64_t life, Command command);
   void Execute(Node& node, Command command);
   void Perform(Node& node, const Effect& effect);
@@ -161,7 +214,6 @@
   void Trouble();
   void MoreTrouble(size_t index);
   void FleetTrouble(size_t index);
-  void StopState(Duration how_long);
   void CrashAllNodes();
   void Hang(const std::string& name, Duration how_long);
   std::vector<std::string> PickMachines(double share);
@@ -179,6 +231,12 @@
   void CheckForgotten();
   void CheckAssignments(const Transaction& txn);
   void CheckCancelled();
+  // Once troubles are over no task waits long beside a machine that has room.
+  void CheckWaiting();
+  bool CouldStart(const JobModel& job) const;
+  // Half of each class, team and class's largest jobs, the largest soon.
+  void CheckServed();
+  void SendOddRequest();
   void Violation(const std::string& rule, const std::string& what);
   void Note(std::string what);
 
@@ -206,6 +264,13 @@
   SteadyTime state_slow_until_{};
   SteadyTime peers_refused_until_{};
   std::set<std::string> deaf_;
+  std::map<std::string, SteadyTime> deaf_until_;
+  std::map<std::string, SteadyTime> mute_until_;
+  double late_writes_ = 0;
+  SteadyTime late_writes_until_{};
+  double cancel_at_end_ = 0;
+  int starts_after_cancellation_ = 0;
+  int lost_with_lease_ = 0;
   SteadyTime zone_cut_until_{};  // zone b, with the controllers in it
   bool zone_hold_ = false;
   std::map<std::string, SteadyTime> cut_until_;  // machines
--- a/tests/standins/worker.cc
+++ b/tests/standins/worker.cc
@@ -41,7 +41,9 @@
 
 void Worker::EndSession(SteadyTime now) {
   for (auto& [key, task] : tasks_) {
-    if (Occupies(task.state)) observer_(key.first, TaskEvent::kOff);
+    if (!Occupies(task.state)) continue;
+    observer_(key.first, TaskEvent::kLost);
+    observer_(key.first, TaskEvent::kOff);
   }
   tasks_.clear();
   ++session_;
@@ -183,6 +185,7 @@
     tasks_[key] = task;
     return;
   }
+  observer_(key.first, TaskEvent::kLaunched);
   task.state = "pulling";
   task.next = now + (images_.contains(info->image) ? Duration(0) : info->fetch);
   tasks_[key] = task;
--- a/tests/standins/worker.h
+++ b/tests/standins/worker.h
@@ -41,8 +41,9 @@
     bool ignores_stops = false;  // a fault for tests of the tests
   };
   using Lookup = std::function<std::optional<TaskInfo>(const std::string&)>;
-  enum class TaskEvent { kOn, kOff, kDone };
-  // A task occupies the machine, does not any more, or has completed.
+  enum class TaskEvent { kLaunched, kOn, kOff, kDone, kLost };
+  // A task has been launched, occupies the machine, does not any more, has
+  // completed, or was lost with the lease (before kOff).
   using Observer = std::function<void(const std::string& task, TaskEvent)>;
 
   Worker(Config config, Lookup lookup, Observer observer, SteadyTime now);
