--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -1374,7 +1374,8 @@
         }
       });
   // Repeats of whatever there is, and cancellations of what is done.
-  auto any = std::next(jobs_.begin(), static_cast<ptrdiff_t>(Pick(jobs_.size())));
+  auto any =
+      std::next(jobs_.begin(), static_cast<ptrdiff_t>(Pick(jobs_.size())));
   if (any->second->accepted) TrySubmit(any->first, now_);
   if (any->second->told_done) TryCancel(any->first);
   After(Between(0.5, 2), [this] { SendOddRequest(); });
