--- /dev/null
+++ b/tests/bound_test.cc
@@ -0,0 +1,346 @@
+// How long an owner may answer its workers without the state service, and what
+// other controllers' words are worth for it. docs/architecture.md has the
+// inequality.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/part.h"
+#include "core/vouchers.h"
+
+namespace pitchfall {
+namespace {
+
+constexpr uint64_t kToken = 50;
+
+Deployment HuntSized() {
+  Deployment d;
+  d.label = "node-0";
+  d.peers = {{"node-1", ""}, {"node-2", ""}};
+  d.worker_lease = Seconds(26.5);
+  d.cancel = Seconds(46.5);
+  d.report = Seconds(5);
+  return d;
+}
+
+// An owner by itself: its reads and its workers are played by hand.
+class Bound : public ::testing::Test {
+ protected:
+  Bound()
+      : deployment_(HuntSized()),
+        requests_(1000, 1000),
+        writes_(1000, 1000),
+        cloud_(1000, 1000),
+        follower_(deployment_, tuning_, out_, mirror_, requests_),
+        context_{
+            deployment_, tuning_,
+            out_,        mirror_,
+            follower_,   requests_,
+            writes_,     cloud_,
+            "life",      1,
+            RoomBook(1), Vouchers(deployment_, deployment_.label, "life")} {
+    tuning_.hold_report = Duration(0);
+    SetNow(Seconds(1000));
+    Read();  // the list
+    Read();  // what came since: everything is known as of here
+    known_at_ = now_.steady;
+    part_ = std::make_unique<Part>(context_, 0, kToken);
+  }
+
+  void SetNow(Duration at) {
+    now_ = {SteadyTime(at), WallTime(at)};
+    out_.set_now(now_);
+  }
+  void Advance(Duration by) { SetNow(now_.steady.time_since_epoch() + by); }
+
+  // One read of the follower's that succeeds at once.
+  void Read() {
+    Advance(Millis(500));
+    follower_.Step();
+    for (const Effect& effect : out_.TakeEffects()) {
+      const auto* call = std::get_if<StateCall>(&effect);
+      if (call == nullptr) continue;
+      StateReply reply;
+      reply.call = call->call;
+      reply.status = 200;
+      reply.revision = 100;
+      out_.Handle(reply);
+    }
+  }
+
+  WorkerReport ReportOf(uint64_t seq, std::vector<ReportedTask> tasks = {}) {
+    WorkerReport report;
+    report.machine = "m-1";
+    report.address = "m-1:1";
+    report.type = "c8";
+    report.zone = "a";
+    report.session = 1;
+    report.seq = seq;
+    report.token = kToken;
+    report.tasks = std::move(tasks);
+    return report;
+  }
+
+  // The status of the answer to a report that comes now; its effects are kept.
+  int StatusOfReport(uint64_t seq, std::vector<ReportedTask> tasks = {}) {
+    part_->CheckIn(seq, ReportOf(seq, std::move(tasks)));
+    part_->Step();
+    effects_ = out_.TakeEffects();
+    for (const Effect& effect : effects_) {
+      const auto* reply = std::get_if<Reply>(&effect);
+      if (reply != nullptr && reply->request == seq) {
+        if (const auto* to = std::get_if<Redirect>(&reply->body)) {
+          redirect_ = to->owner;
+        }
+        return reply->status;
+      }
+    }
+    return 0;
+  }
+
+  PeerHello Voucher(const std::string& label, SteadyTime mark) {
+    PeerHello hello;
+    hello.label = label;
+    hello.life = "any";
+    hello.uptime = Seconds(500);
+    hello.echoes = {{"node-0", "life", mark}};
+    return hello;
+  }
+
+  Deployment deployment_;
+  Tuning tuning_;
+  Outbox out_;
+  Mirror mirror_;
+  TokenBucket requests_;
+  TokenBucket writes_;
+  TokenBucket cloud_;
+  Follower follower_;
+  Context context_;
+  std::unique_ptr<Part> part_;
+  Now now_{};
+  SteadyTime known_at_{};
+  std::vector<Effect> effects_;
+  std::string redirect_;
+};
+
+// cancel 46.5 - lease 26.5 with 0.1% for drift (26.5265) - 2 = 17.9735 s after
+// the last read began. A second more, and a cancellation confirmed right after
+// that read would not be carried out in time on a worker whose clock is slow.
+TEST_F(Bound, EndsWhereACancellationCouldComeTooLate) {
+  Advance(Millis(17973));
+  EXPECT_EQ(StatusOfReport(1), 200);
+  Advance(Millis(1));
+  EXPECT_EQ(StatusOfReport(2), 503);
+  Advance(Seconds(1));
+  EXPECT_EQ(StatusOfReport(3), 503);
+}
+
+TEST_F(Bound, CountsFromTheOldestVoucherOfAllOthers) {
+  Advance(Seconds(10));
+  SteadyTime early = now_.steady;
+  Advance(Seconds(5));
+  SteadyTime late = now_.steady;
+  context_.vouchers.Hear(Voucher("node-1", late), now_.steady, known_at_);
+  // One of them says nothing: nothing is gained.
+  EXPECT_EQ(context_.vouchers.KnownUntil(known_at_, now_.steady), known_at_);
+  context_.vouchers.Hear(Voucher("node-2", early), now_.steady, known_at_);
+  EXPECT_EQ(context_.vouchers.KnownUntil(known_at_, now_.steady), early);
+  // 10 + 17.9735 s after the read.
+  Advance(Millis(12973));
+  EXPECT_EQ(StatusOfReport(1), 200);
+  Advance(Millis(1));
+  EXPECT_EQ(StatusOfReport(2), 503);
+}
+
+TEST_F(Bound, ALifeThatBeganAfterTheLastReadDoesNotVouch) {
+  Advance(Seconds(10));
+  for (const char* label : {"node-1", "node-2"}) {
+    PeerHello hello = Voucher(label, now_.steady);
+    // By its own clock, which may be fast, not before the read for sure.
+    hello.uptime = Millis(10005);
+    context_.vouchers.Hear(hello, now_.steady, known_at_);
+  }
+  EXPECT_EQ(context_.vouchers.KnownUntil(known_at_, now_.steady), known_at_);
+  for (const char* label : {"node-1", "node-2"}) {
+    PeerHello hello = Voucher(label, now_.steady);
+    hello.uptime = Millis(10011);
+    context_.vouchers.Hear(hello, now_.steady, known_at_);
+  }
+  EXPECT_EQ(context_.vouchers.KnownUntil(known_at_, now_.steady), now_.steady);
+}
+
+TEST_F(Bound, EchoesOfAnEarlierLifeOfThisOneOrFromStrangersDoNotCount) {
+  Advance(Seconds(10));
+  for (const char* label : {"node-1", "node-2"}) {
+    PeerHello hello = Voucher(label, now_.steady);
+    hello.echoes[0].life = "former";
+    context_.vouchers.Hear(hello, now_.steady, known_at_);
+    hello.echoes[0] = {"node-7", "life", now_.steady};
+    context_.vouchers.Hear(hello, now_.steady, known_at_);
+    hello.echoes[0] = {"node-0", "life", now_.steady + Millis(1)};
+    context_.vouchers.Hear(hello, now_.steady, known_at_);
+  }
+  context_.vouchers.Hear(Voucher("node-9", now_.steady), now_.steady,
+                         known_at_);
+  EXPECT_EQ(context_.vouchers.KnownUntil(known_at_, now_.steady), known_at_);
+}
+
+// A message that the network held back takes nothing away.
+TEST_F(Bound, OldVouchersAreNoNews) {
+  Advance(Seconds(10));
+  SteadyTime then = now_.steady;
+  for (const char* label : {"node-1", "node-2"}) {
+    context_.vouchers.Hear(Voucher(label, then), now_.steady, known_at_);
+    context_.vouchers.Hear(Voucher(label, then - Seconds(4)), now_.steady,
+                           known_at_);
+  }
+  EXPECT_EQ(context_.vouchers.KnownUntil(known_at_, now_.steady), then);
+}
+
+TEST_F(Bound, AloneNobodyElseCanHaveToldAnything) {
+  deployment_.peers.clear();
+  Vouchers alone(deployment_, "node-0", "life");
+  SteadyTime later = known_at_ + Seconds(1000);
+  EXPECT_EQ(alone.KnownUntil(known_at_, later), later);
+}
+
+// Another controller that owns the part says so: whatever the clock says,
+// nothing is answered any more, and workers are sent there.
+TEST_F(Bound, EndsWhenALaterOwnerIsHeard) {
+  part_->HearOwner("node-2", kToken - 1);  // an earlier one
+  EXPECT_EQ(StatusOfReport(1), 200);
+  part_->HearOwner("node-2", kToken + 1);
+  EXPECT_EQ(StatusOfReport(2), 421);
+  EXPECT_EQ(redirect_, "node-2");
+}
+
+// ---- Stops sent directly ----
+
+class DirectStops : public Bound {
+ protected:
+  DirectStops() {
+    JobSpec spec;
+    spec.id = "run-1";
+    spec.team = "red";
+    spec.tasks = 1;
+    spec.need = Resources::FromDecimals(1, 0, 1);
+    JobRecord job;
+    job.spec = spec;
+    job.chunk_size = 8;
+    mirror_.Apply({keys::Job("run-1"), job, 201});
+    ChunkRecord chunk;
+    chunk.assigned.push_back({0, 1, "m-1", "a"});
+    chunk.next_attempt = 2;
+    mirror_.Apply(
+        {keys::Segment(0, 0), SegmentRecord{{{"run-1", 0, chunk}}}, 202});
+  }
+
+  std::vector<WorkerCall> StopCalls() {
+    std::vector<WorkerCall> calls;
+    for (const Effect& effect : effects_) {
+      const auto* call = std::get_if<WorkerCall>(&effect);
+      if (call == nullptr) continue;
+      const auto* command = std::get_if<CommandWorker>(&call->request);
+      if (command != nullptr && !command->orders.empty()) {
+        calls.push_back(*call);
+      }
+    }
+    return calls;
+  }
+  std::vector<WorkerCall> StepLater(Duration by) {
+    Advance(by);
+    part_->Step();
+    effects_ = out_.TakeEffects();
+    return StopCalls();
+  }
+};
+
+// The start travels in the answer to a report; before another report shows it
+// the job is called off.
+TEST_F(DirectStops, ReachAStartThatNoReportShowsYet) {
+  Advance(Millis(100));
+  Read();
+  StatusOfReport(1);  // heard for the first time: the next one is answered
+  Advance(Millis(600));
+  Read();
+  ASSERT_EQ(StatusOfReport(2), 200);
+  // Adopted from the stored records, as after a takeover, it is not started
+  // again; one of this owner's own is.
+  context_.told_cancelled.insert("run-1");
+  HeldTask own;
+  own.job = mirror_.FindJob("run-1");
+  own.attempt = 1;
+  own.start_sent = std::pair<uint64_t, uint64_t>(1, 2);
+  Machine machine;
+  machine.held[{"run-1", 0}] = own;
+  OrderPolicy policy;
+  policy.wanted = [](const HeldTask&) { return false; };
+  ASSERT_EQ(MakeDirectStops(machine, policy).size(), 1u);
+  EXPECT_TRUE(MakeDirectStops(machine, policy).empty());  // once
+  // One that has not been sent needs no stop.
+  machine.held.begin()->second.start_sent.reset();
+  machine.held.begin()->second.stop_sent = false;
+  EXPECT_TRUE(MakeDirectStops(machine, policy).empty());
+}
+
+// To a machine that reports to nobody a stop that failed is sent again until
+// one is carried out.
+TEST_F(DirectStops, AreRepeatedUntilOneIsCarriedOut) {
+  ReportedTask running{"run-1", 0, 1, TaskState::kRunning, ExitCause::kNone};
+  StatusOfReport(1, {running});
+  Advance(Millis(600));
+  ASSERT_EQ(StatusOfReport(2, {running}), 200);
+  EXPECT_TRUE(StopCalls().empty());
+  // Another controller tells that it has stored the cancellation.
+  context_.told_cancelled.insert("run-1");
+  std::vector<WorkerCall> first = StepLater(Millis(50));
+  ASSERT_EQ(first.size(), 1u);
+  EXPECT_TRUE(StepLater(Millis(50)).empty());  // under way
+  for (int status : {0, 409, 503}) {
+    WorkerReply failed;
+    failed.call = first[0].call;
+    failed.status = status;
+    out_.Handle(failed);
+    EXPECT_TRUE(StepLater(Millis(50)).empty());  // not at once
+    first = StepLater(Millis(1000));
+    ASSERT_EQ(first.size(), 1u) << status;
+  }
+  WorkerReply done;
+  done.call = first[0].call;
+  done.status = 200;
+  out_.Handle(done);
+  EXPECT_TRUE(StepLater(Millis(2000)).empty());
+}
+
+// ---- What is told ----
+
+TEST(CancelledSince, IsWholeOrNothing) {
+  Mirror mirror;
+  auto apply = [&](const std::string& id, uint64_t stamp, JobState state) {
+    JobRecord record;
+    record.spec.id = id;
+    record.spec.tasks = 1;
+    record.state = state;
+    mirror.Apply({keys::Job(id), record, stamp});
+  };
+  apply("run-1", 1, JobState::kAccepted);
+  apply("run-2", 2, JobState::kDone);
+  apply("run-1", 3, JobState::kCancelled);
+  apply("run-3", 5, JobState::kCancelled);
+  using Ids = std::vector<std::string>;
+  EXPECT_EQ(mirror.CancelledSince(0, 10), (Ids{"run-1", "run-3"}));
+  EXPECT_EQ(mirror.CancelledSince(3, 10), (Ids{"run-3"}));
+  EXPECT_EQ(mirror.CancelledSince(5, 10), Ids{});
+  EXPECT_EQ(mirror.CancelledSince(0, 1), std::nullopt);
+  // Of very many the oldest are left out, which has to show.
+  for (uint64_t n = 10; n < 3010; ++n) {
+    apply("run-9" + std::to_string(n), n, JobState::kCancelled);
+  }
+  EXPECT_EQ(mirror.CancelledSince(5, 10000), std::nullopt);
+  EXPECT_EQ(mirror.CancelledSince(3000, 10000)->size(), 9u);
+}
+
+}  // namespace
+}  // namespace pitchfall
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -282,6 +282,9 @@
   hello.life = "abc";
   hello.strays = {1, 2, 3};
   hello.free[1].any = {5, 6};
+  hello.echoes = {{"node-1", "0a", SteadyTime(Seconds(9))}};
+  hello.cancelled = {"run-1", "run-2"};
+  hello.tokens = {{0, 12}};
   const std::string peer = EncodeHello(hello);
   const std::string record =
       Packed(SegmentRecord{{{"run-1", 0, RandomChunk(random)}}});
@@ -330,6 +333,13 @@
   hello.free[1].any = {16000000, 16000000, 8000000};
   hello.free[1].ordinary = {8000000};
   hello.writes = 2.5;
+  hello.uptime = Seconds(77);
+  hello.revision = 4711;
+  hello.mark = SteadyTime(Seconds(1234.5));
+  hello.echoes = {{"node-0", "0a", SteadyTime(Seconds(9))},
+                  {"node-2", "0b", SteadyTime(Seconds(8))}};
+  hello.cancelled = {"run-1", "run-22"};
+  hello.tokens = {{0, 12}, {3, 1ull << 60}};
   std::string bytes = EncodeHello(hello);
   ASSERT_EQ(HelloSize(bytes), bytes.size());
   auto back = DecodeHello(bytes);
@@ -339,6 +349,15 @@
   EXPECT_EQ(back->strays, hello.strays);
   EXPECT_EQ(back->free, hello.free);
   EXPECT_EQ(back->writes, hello.writes);
+  EXPECT_EQ(back->uptime, hello.uptime);
+  EXPECT_EQ(back->revision, hello.revision);
+  EXPECT_EQ(back->mark, hello.mark);
+  ASSERT_EQ(back->echoes.size(), 2u);
+  EXPECT_EQ(back->echoes[1].label, "node-2");
+  EXPECT_EQ(back->echoes[1].life, "0b");
+  EXPECT_EQ(back->echoes[1].mark, SteadyTime(Seconds(8)));
+  EXPECT_EQ(back->cancelled, hello.cancelled);
+  EXPECT_EQ(back->tokens, hello.tokens);
 }
 
 TEST(Hello, SizeOfNothingIsAsked) { EXPECT_EQ(HelloSize({}), 8u); }
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -858,6 +858,7 @@
   }
   if (Chance() < 0.4) MoreTrouble(Pick(config_.nodes));
   if (config_.fleet_troubles) FleetTrouble(Pick(config_.nodes));
+  if (config_.meeting_troubles) MeetingTrouble(Pick(config_.nodes));
   // The longest of them last 20 s.
   calm_since_ = now_ + Seconds(20);
   double mean = ToSeconds(config_.trouble_every);
@@ -1116,6 +1117,37 @@
   }
 }
 
+// What the operators' list of meetings names.
+void World::MeetingTrouble(size_t index) {
+  switch (Pick(7)) {
+    case 0:
+      LateWrites(0.3, ToSeconds(Between(5, 15)));
+      break;
+    case 1:
+      DeafenMachines(0.3, ToSeconds(Between(3, 18)));
+      break;
+    case 2:
+      MuteMachines(0.4, ToSeconds(Between(3, 18)));
+      break;
+    case 3:
+      CutNode(index, {.state = true, .peers = true, .hold = Chance() < 0.5},
+              ToSeconds(Between(5, 18)));
+      break;
+    case 4:
+      CancelNow(3, Chance() < 0.5 ? ToSeconds(Between(1, 5)) : 0);
+      break;
+    case 5:
+      // The gap, wherever it falls.
+      CutNode(OwnerOf(0), {.state = true}, 5);
+      CancelNow(3, 0);
+      After(Seconds(1), [this] { StopState(Between(5, 17)); });
+      break;
+    default:
+      CancelAtEnd(0.3);
+      break;
+  }
+}
+
 // A machine is back within a fraction of a second and has forgotten everything.
 void World::RestartMachine() {
   if (machines_.empty()) return;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -55,6 +55,9 @@
   // many machines cut off, many machines that hang, all controllers restarted
   // while the state service is away.
   bool fleet_troubles = false;
+  // Besides: late writes, deaf and mute machines, isolated controllers, jobs
+  // called off at once and at their end.
+  bool meeting_troubles = false;
   // Once: a controller loses the state service and its peers, but not its
   // workers nor its users.
   bool isolate_a_node = false;
@@ -214,6 +217,7 @@
   void Trouble();
   void MoreTrouble(size_t index);
   void FleetTrouble(size_t index);
+  void MeetingTrouble(size_t index);
   void CrashAllNodes();
   void Hang(const std::string& name, Duration how_long);
   std::vector<std::string> PickMachines(double share);
--- a/tests/sim_test.cc
+++ b/tests/sim_test.cc
@@ -144,6 +144,26 @@
   }
 }
 
+// The troubles of the list of meetings, at random moments and over the others.
+TEST(MeetingTroubles, KeepTheRules) {
+  for (uint64_t seed = 1; seed <= 16; ++seed) {
+    WorldConfig config;
+    config.seed = seed;
+    config.nodes = 2 + seed % 4;
+    config.meeting_troubles = true;
+    config.odd_requests = true;
+    config.longest_run_s = 25;
+    config.team_limit = seed % 4 == 0 ? 24 : 120;
+    config.capacity = 20;
+    config.trouble_every = Seconds(6);
+    config.end = Seconds(500);
+    World world(config);
+    world.Run();
+    EXPECT_TRUE(world.violations().empty()) << seed << " " << Told(world);
+    EXPECT_EQ(world.finished(), world.accepted()) << seed << " " << Told(world);
+  }
+}
+
 // Its reports arrive, answers and commands do not: the machine is recognised by
 // what its reports fail to show, and its tasks run elsewhere.
 TEST(DeafMachine, IsDeletedAndItsWorkMoves) {
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -21,6 +21,13 @@
       config.capacity = 20;
       config.nodes = 2 + seed % 5;
     }
+    if (seed % 5 != 0) {
+      config.meeting_troubles = true;
+      config.odd_requests = true;
+      config.longest_run_s = seed % 7 == 0 ? 60 : 25;
+      config.team_limit = seed % 4 == 0 ? 24 : 120;
+      config.end = pitchfall::Seconds(500);
+    }
     config.log_debug = count == 1;
     pitchfall::sim::World world(config);
     world.Run();
