--- a/tests/bound_test.cc
+++ b/tests/bound_test.cc
@@ -3,6 +3,7 @@
 // inequality.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -261,6 +262,12 @@
   std::optional<StateCall> lost = write();  // the period's report
   ASSERT_TRUE(lost);
   EXPECT_EQ(fence_in(*lost), 0u);
+  // As every write of an owner it depends on the ownership too.
+  const auto& conditions = std::get<Transaction>(lost->request).conditions;
+  EXPECT_TRUE(std::any_of(
+      conditions.begin(), conditions.end(), [](const Condition& condition) {
+        return condition.key == keys::Part(0) && condition.stamp == kToken;
+      }));
   answer(*lost, 0, 0);
   std::optional<StateCall> fence = write();
   ASSERT_TRUE(fence);
