--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -11,18 +11,6 @@
 namespace pitchfall::sim {
 namespace {
 
-std::string Told(const World& world) {
-  std::string text;
-  for (const std::string& violation : world.violations()) {
-    text += violation + "\n";
-  }
-  size_t from = world.log().size() > 200 ? world.log().size() - 200 : 0;
-  for (size_t i = from; i < world.log().size(); ++i) {
-    text += world.log()[i] + "\n";
-  }
-  return text;
-}
-
 // Everything quiet but for what the meeting brings: two dozen long tasks on
 // machines in both zones, more jobs than that, a lease of 6 s and 20 s for a
 // cancellation. The bound on answers without the state service is 12 s.
@@ -51,9 +39,9 @@
     World world(config);
     meet(world);
     world.Run();
-    EXPECT_TRUE(world.violations().empty()) << seed << "\n" << Told(world);
+    EXPECT_TRUE(world.violations().empty()) << seed << "\n" << world.Told();
     EXPECT_EQ(world.finished(), world.accepted()) << seed << "\n"
-                                                  << Told(world);
+                                                  << world.Told();
     EXPECT_GT(world.accepted(), 0);
     if (check) check(world);
   }
--- a/tests/operations_test.cc
+++ b/tests/operations_test.cc
@@ -10,18 +10,6 @@
 namespace pitchfall::sim {
 namespace {
 
-std::string Told(const World& world) {
-  std::string text;
-  for (const std::string& violation : world.violations()) {
-    text += violation + "\n";
-  }
-  size_t from = world.log().size() > 150 ? world.log().size() - 150 : 0;
-  for (size_t i = from; i < world.log().size(); ++i) {
-    text += world.log()[i] + "\n";
-  }
-  return text;
-}
-
 WorldConfig Calm(uint64_t seed) {
   WorldConfig config;
   config.seed = seed;
@@ -33,8 +21,8 @@
 }
 
 void ExpectKept(const World& world) {
-  EXPECT_TRUE(world.violations().empty()) << Told(world);
-  EXPECT_EQ(world.finished(), world.accepted()) << Told(world);
+  EXPECT_TRUE(world.violations().empty()) << world.Told();
+  EXPECT_EQ(world.finished(), world.accepted()) << world.Told();
 }
 
 // Twenty times the questions, fifty a second about jobs that nobody submitted,
@@ -99,7 +87,7 @@
     ExpectKept(world);
     // The first few are sent back to it; without the hint that workers with
     // its token cannot reach it 20 to 36 tasks were lost.
-    EXPECT_LE(world.lost_with_lease(), 8) << Told(world);
+    EXPECT_LE(world.lost_with_lease(), 8) << world.Told();
   }
 }
 
@@ -147,8 +135,8 @@
     world.Run();
     ExpectKept(world);
     EXPECT_EQ(world.cancelled(), 4);
-    EXPECT_EQ(world.quarantines(false), 0u) << Told(world);
-    EXPECT_GT(world.quarantines(true), 0u) << Told(world);
+    EXPECT_EQ(world.quarantines(false), 0u) << world.Told();
+    EXPECT_GT(world.quarantines(true), 0u) << world.Told();
   }
 }
 
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -196,6 +196,15 @@
   }
 }
 
+std::string World::Told() const {
+  constexpr size_t kLines = 300;
+  std::string text;
+  for (const std::string& violation : violations_) text += violation + "\n";
+  size_t from = log_.size() > kLines ? log_.size() - kLines : 0;
+  for (size_t i = from; i < log_.size(); ++i) text += log_[i] + "\n";
+  return text;
+}
+
 int World::accepted() const {
   return static_cast<int>(std::count_if(
       jobs_.begin(), jobs_.end(),
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -148,6 +148,8 @@
   int finished() const;
   int starts() const { return starts_; }
   const std::vector<std::string>& log() const { return log_; }
+  // What broke, and the end of the story: for the messages of tests.
+  std::string Told() const;
   // Of the deaf machines: how many were still rented 50 s later.
   int deaf_left() const { return deaf_left_; }
   // Requests of users that the isolated controller refused or left unanswered
--- a/tests/sim_test.cc
+++ b/tests/sim_test.cc
@@ -9,15 +9,6 @@
 namespace pitchfall::sim {
 namespace {
 
-std::string Tail(const World& world) {
-  std::string text;
-  size_t from = world.log().size() > 400 ? world.log().size() - 400 : 0;
-  for (size_t i = from; i < world.log().size(); ++i) {
-    text += world.log()[i] + "\n";
-  }
-  return text;
-}
-
 class Schedules : public ::testing::TestWithParam<uint64_t> {};
 
 TEST_P(Schedules, KeepTheRules) {
@@ -26,12 +17,11 @@
   config.parts = GetParam() % 4;  // 0: as many as controllers
   World world(config);
   world.Run();
-  EXPECT_TRUE(world.violations().empty()) << world.violations().front() << "\n"
-                                          << Tail(world);
+  EXPECT_TRUE(world.violations().empty()) << world.Told();
   EXPECT_GT(world.starts(), 0);
   // Nothing is lost: with the troubles over, all that was accepted ends.
-  EXPECT_EQ(world.accepted(), config.jobs) << Tail(world);
-  EXPECT_EQ(world.finished(), world.accepted()) << Tail(world);
+  EXPECT_EQ(world.accepted(), config.jobs) << world.Told();
+  EXPECT_EQ(world.finished(), world.accepted()) << world.Told();
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Schedules, ::testing::Range<uint64_t>(1, 41));
@@ -46,11 +36,6 @@
   EXPECT_EQ(world.finished(), config.jobs);
 }
 
-std::string Told(const World& world) {
-  return (world.violations().empty() ? "" : world.violations().front() + "\n") +
-         Tail(world);
-}
-
 // Many controllers, machines by the hundred, and everything that can go wrong.
 TEST(ManyControllers, KeepTheRules) {
   for (uint64_t seed : {1, 2}) {
@@ -62,8 +47,8 @@
     config.capacity = 100;
     World world(config);
     world.Run();
-    EXPECT_TRUE(world.violations().empty()) << Told(world);
-    EXPECT_EQ(world.finished(), world.accepted()) << Told(world);
+    EXPECT_TRUE(world.violations().empty()) << world.Told();
+    EXPECT_EQ(world.finished(), world.accepted()) << world.Told();
   }
 }
 
@@ -79,8 +64,8 @@
   config.trouble_every = Duration(0);
   World world(config);
   world.Run();
-  EXPECT_TRUE(world.violations().empty()) << Told(world);
-  EXPECT_EQ(world.finished(), config.jobs) << Told(world);
+  EXPECT_TRUE(world.violations().empty()) << world.Told();
+  EXPECT_EQ(world.finished(), config.jobs) << world.Told();
   for (const std::string& line : world.log()) {
     EXPECT_EQ(line.find("write_refused"), std::string::npos) << line;
   }
@@ -108,9 +93,9 @@
   config.end = Seconds(240);
   World world(config);
   world.Run();
-  EXPECT_TRUE(world.violations().empty()) << Told(world);
+  EXPECT_TRUE(world.violations().empty()) << world.Told();
   EXPECT_EQ(world.accepted(), config.wide_jobs);
-  EXPECT_EQ(world.finished(), config.wide_jobs) << Told(world);
+  EXPECT_EQ(world.finished(), config.wide_jobs) << world.Told();
   EXPECT_LE(world.largest_transaction(), 64u * 1024);
   // Some 8,000 tasks start and end: writes carry many of them each.
   EXPECT_LT(world.state_calls(), 8000u);
@@ -139,8 +124,9 @@
     config.trouble_until = Seconds(140);
     World world(config);
     world.Run();
-    EXPECT_TRUE(world.violations().empty()) << seed << " " << Told(world);
-    EXPECT_EQ(world.finished(), world.accepted()) << seed << " " << Told(world);
+    EXPECT_TRUE(world.violations().empty()) << seed << " " << world.Told();
+    EXPECT_EQ(world.finished(), world.accepted())
+        << seed << " " << world.Told();
   }
 }
 
@@ -159,8 +145,9 @@
     config.end = Seconds(500);
     World world(config);
     world.Run();
-    EXPECT_TRUE(world.violations().empty()) << seed << " " << Told(world);
-    EXPECT_EQ(world.finished(), world.accepted()) << seed << " " << Told(world);
+    EXPECT_TRUE(world.violations().empty()) << seed << " " << world.Told();
+    EXPECT_EQ(world.finished(), world.accepted())
+        << seed << " " << world.Told();
   }
 }
 
@@ -181,9 +168,9 @@
       config.deaf_machines = 2;
       World world(config);
       world.Run();
-      EXPECT_TRUE(world.violations().empty()) << Told(world);
-      EXPECT_EQ(world.finished(), config.jobs) << nodes << Told(world);
-      EXPECT_EQ(world.deaf_left(), 0) << nodes << Told(world);
+      EXPECT_TRUE(world.violations().empty()) << world.Told();
+      EXPECT_EQ(world.finished(), config.jobs) << nodes << world.Told();
+      EXPECT_EQ(world.deaf_left(), 0) << nodes << world.Told();
     }
   }
 }
@@ -200,8 +187,8 @@
     config.team_limit = 40;
     World world(config);
     world.Run();
-    EXPECT_TRUE(world.violations().empty()) << Told(world);
-    EXPECT_EQ(world.finished(), world.accepted()) << Told(world);
+    EXPECT_TRUE(world.violations().empty()) << world.Told();
+    EXPECT_EQ(world.finished(), world.accepted()) << world.Told();
   }
 }
 
@@ -217,8 +204,8 @@
     config.team_limit = 40;
     World world(config);
     world.Run();
-    EXPECT_TRUE(world.violations().empty()) << Told(world);
-    EXPECT_EQ(world.finished(), config.jobs) << Told(world);
+    EXPECT_TRUE(world.violations().empty()) << world.Told();
+    EXPECT_EQ(world.finished(), config.jobs) << world.Told();
     EXPECT_TRUE(world.isolated_said_unhealthy());
     EXPECT_EQ(world.lost_on_isolated(), 0);
   }
@@ -234,8 +221,8 @@
     config.trouble_every = Seconds(2);
     World world(config);
     world.Run();
-    EXPECT_TRUE(world.violations().empty()) << Told(world);
-    EXPECT_EQ(world.finished(), world.accepted()) << Told(world);
+    EXPECT_TRUE(world.violations().empty()) << world.Told();
+    EXPECT_EQ(world.finished(), world.accepted()) << world.Told();
   }
 }
 
@@ -249,11 +236,11 @@
   config.end = Seconds(700);
   World world(config);
   world.Run();
-  EXPECT_TRUE(world.violations().empty()) << Told(world);
-  ASSERT_TRUE(world.large_begun_after()) << Told(world);
+  EXPECT_TRUE(world.violations().empty()) << world.Told();
+  ASSERT_TRUE(world.large_begun_after()) << world.Told();
   EXPECT_LT(*world.large_begun_after(), 240);
   EXPECT_GT(*world.large_begun_after(), 60);  // the cluster was crowded
-  EXPECT_EQ(world.finished(), world.accepted()) << Told(world);
+  EXPECT_EQ(world.finished(), world.accepted()) << world.Told();
 }
 
 // The checks can fail: with a state service that ignores conditions, or
