A task whose end is being stored is not started meanwhile

A machine that is heard again after a silence (or that drains, or rests) takes nothing, and what was bound to it and not yet started is taken back. While that write was on its way, or its outcome unknown, the machine could be open again with its next report, and the answer carried the start: the same task could then start here and, once the write was through, elsewhere. Such a task is marked until the next draft. DirectStops.NothingStartsWhoseEndIsBeingStored fails without the mark (seen).

--- a/src/core/machines.cc
+++ b/src/core/machines.cc
@@ -114,7 +114,8 @@
   }
   if (policy.may_start) {
     for (auto& [key, task] : machine.held) {
-      if (task.inherited || task.seen || task.stop() || !policy.wanted(task) ||
+      if (task.inherited || task.seen || task.ending || task.stop() ||
+          !policy.wanted(task) ||
           FindTry(report, key, task.attempt) != nullptr) {
         continue;
       }
--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -36,6 +36,9 @@
   bool at_once = false;  // without saving
   bool stop() const { return leave || preempted; }
   bool stop_sent = false;  // by a direct command that has not failed
+  // That it is not bound here any more is being stored, or was, for all that
+  // is known: it may be started elsewhere at any moment, so never here now.
+  bool ending = false;
   std::optional<TaskState> state;
   std::optional<SteadyTime> running_since;  // as far as this owner has seen
 };
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -628,11 +628,14 @@
     bool open = machine.TakesTasks(now);
     for (auto& [key, task] : machine.held) {
       bool wanted = Wanted(task) && !task.stop() && open;
+      // Whatever was drafted before is not stored, or the mirror would show it.
+      task.ending = false;
       Verdict verdict = Judge(machine, key, task, token_, wanted);
       if (verdict == Verdict::kHeld) continue;
       const Job& job = *task.job;
       uint32_t chunk = job.chunk_of(key.second);
       if (!MayTouch(draft, job, chunk)) continue;
+      task.ending = true;
       ChunkRecord& record = Touch(draft, job, chunk).record;
       std::erase_if(record.assigned, [&](const Assignment& a) {
         return a.task == key.second && a.attempt == task.attempt &&
