--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -3,50 +3,13 @@
 // the table: meeting, rules at stake, guard, test, what was found.
 #include <gtest/gtest.h>
 
-#include <functional>
 #include <string>
 
-#include "sim/world.h"
+#include "sim/play.h"
 
 namespace pitchfall::sim {
 namespace {
 
-// Everything quiet but for what the meeting brings: two dozen long tasks on
-// machines in both zones, more jobs than that, a lease of 6 s and 20 s for a
-// cancellation. The bound on answers without the state service is 12 s.
-WorldConfig Quiet(uint64_t seed) {
-  WorldConfig config;
-  config.seed = seed;
-  config.jobs = 20;
-  config.longest_run_s = 40;
-  config.cancel_share = 0;
-  config.trouble_every = Duration(0);
-  config.lost_reply = config.late_copy = config.late_report = 0;
-  config.team_limit = 80;
-  config.sick_share = 0;
-  config.quick_boots = true;
-  return config;
-}
-
-// Plays the meeting with a few seeds; no rule may break, and all that was
-// accepted ends.
-void Play(const std::function<void(WorldConfig&)>& prepare,
-          const std::function<void(World&)>& meet,
-          const std::function<void(World&)>& check = {}) {
-  for (uint64_t seed = 1; seed <= 4; ++seed) {
-    WorldConfig config = Quiet(seed);
-    if (prepare) prepare(config);
-    World world(config);
-    meet(world);
-    world.Run();
-    EXPECT_TRUE(world.violations().empty()) << seed << "\n" << world.Told();
-    EXPECT_EQ(world.finished(), world.accepted()) << seed << "\n"
-                                                  << world.Told();
-    EXPECT_GT(world.accepted(), 0);
-    if (check) check(world);
-  }
-}
-
 // ---- The gap ----
 
 // The state service refuses the leader alone, another controller confirms
--- a/tests/operations_test.cc
+++ b/tests/operations_test.cc
@@ -6,38 +6,23 @@
 #include <map>
 #include <string>
 
-#include "sim/world.h"
+#include "sim/play.h"
 
 namespace pitchfall::sim {
 namespace {
 
-WorldConfig Calm(uint64_t seed) {
-  WorldConfig config;
-  config.seed = seed;
-  config.cancel_share = 0;
-  config.trouble_every = Duration(0);
-  config.lost_reply = config.late_copy = config.late_report = 0;
-  config.team_limit = 80;
-  return config;
-}
-
-void ExpectKept(const World& world) {
-  EXPECT_TRUE(world.violations().empty()) << world.Told();
-  EXPECT_EQ(world.finished(), world.accepted()) << world.Told();
-}
-
 // Twenty times the questions, fifty a second about jobs that nobody submitted,
 // a controller back in the middle of it: nearly all are answered, and nothing
 // else waits for them.
 TEST(Operations, AStormOfQuestionsCrowdsNothingOut) {
   for (uint64_t seed = 1; seed <= 3; ++seed) {
-    WorldConfig config = Calm(seed);
+    WorldConfig config = CalmConfig(seed);
     config.jobs = 60;
     World world(config);
     world.At(20, [&world] { world.PollStorm(20, 60); });
     world.At(40, [&world] { world.CrashNode(1, Seconds(2)); });
     world.Run();
-    ExpectKept(world);
+    ExpectRulesKept(world);
     EXPECT_EQ(world.accepted(), config.jobs);
     EXPECT_GT(world.storm_polls(), 2000);
     // What went to the dead controller meanwhile is not answered.
@@ -51,7 +36,7 @@
 // and token) is a minute old and more.
 TEST(Operations, AControllerStandsStillForAMinuteAndMore) {
   for (uint64_t seed = 1; seed <= 6; ++seed) {
-    WorldConfig config = Calm(seed);
+    WorldConfig config = CalmConfig(seed);
     config.longest_run_s = 40;
     config.jobs_within = Seconds(120);
     World world(config);
@@ -61,7 +46,7 @@
     world.At(110, [&world] { world.FreezeNode(world.OwnerOf(1), 90); });
     world.CalmFrom(200);
     world.Run();
-    ExpectKept(world);
+    ExpectRulesKept(world);
   }
 }
 
@@ -70,7 +55,7 @@
 // half. The part is handed over before their leases run out.
 TEST(Operations, WorkersThatLoseTheirOwnerFindAnotherInTime) {
   for (uint64_t seed = 1; seed <= 5; ++seed) {
-    WorldConfig config = Calm(seed);
+    WorldConfig config = CalmConfig(seed);
     config.report_s = 1.5;
     config.lease_s = 10;
     config.cancel_s = 30;
@@ -85,7 +70,7 @@
     });
     world.CalmFrom(80);
     world.Run();
-    ExpectKept(world);
+    ExpectRulesKept(world);
     // The first few are sent back to it; without the hint that workers with
     // its token cannot reach it 20 to 36 tasks were lost.
     EXPECT_LE(world.lost_with_lease(), 8) << world.Told();
@@ -99,7 +84,7 @@
 TEST(Operations, PartitionsOfOneOwnerTakeTurnsToWrite) {
   constexpr uint32_t kPartitions = 3;
   for (uint64_t seed = 1; seed <= 3; ++seed) {
-    WorldConfig config = Calm(seed);
+    WorldConfig config = CalmConfig(seed);
     config.state_writes = 10;
     config.jobs = 160;
     config.jobs_within = Seconds(110);
@@ -123,7 +108,7 @@
     // Users of the model ask dead controllers too, which no load balancer does.
     world.CalmFrom(120);
     world.Run();
-    ExpectKept(world);
+    ExpectRulesKept(world);
     int all = sent[0] + sent[1] + sent[2];
     for (uint32_t n = 0; n < kPartitions; ++n) {
       EXPECT_GT(sent[n], all / 5) << "partition " << n << " of seed " << seed;
@@ -135,7 +120,7 @@
 // array begins soon and ends, while those with a guarantee are served.
 TEST(Operations, GuestsAreServedAndDelayNobody) {
   for (uint64_t seed = 1; seed <= 3; ++seed) {
-    WorldConfig config = Calm(seed);
+    WorldConfig config = CalmConfig(seed);
     config.jobs = 20;
     config.end = Seconds(500);
     World world(config);
@@ -145,7 +130,7 @@
                           3, 0.5);
     }
     world.Run();
-    ExpectKept(world);
+    ExpectRulesKept(world);
     EXPECT_EQ(world.accepted(), 321);
     EXPECT_TRUE(world.done("run-990000"));
     ASSERT_TRUE(world.begun_after("run-990000"));
@@ -164,7 +149,7 @@
 // off, and the jobs stay known until their users cancel them.
 TEST(Operations, FaultyJobsAreToldFromSickMachines) {
   for (uint64_t seed = 1; seed <= 5; ++seed) {
-    WorldConfig config = Calm(seed);
+    WorldConfig config = CalmConfig(seed);
     config.sick_share = 0.2;
     config.jobs = 40;
     config.jobs_within = Seconds(100);
@@ -173,7 +158,7 @@
       world.AddBrokenJobAt(5 + 10 * i, "run-97000" + std::to_string(i), 6, 150);
     }
     world.Run();
-    ExpectKept(world);
+    ExpectRulesKept(world);
     EXPECT_EQ(world.cancelled(), 4);
     EXPECT_EQ(world.quarantines(false), 0u) << world.Told();
     EXPECT_GT(world.quarantines(true), 0u) << world.Told();
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "core/hash.h"
 #include "wire/codec.h"
 #include "wire/pack.h"
 
@@ -375,7 +376,8 @@
     });
     return;
   }
-  bool lost = luck < config_.late_copy + config_.lost_reply;
+  bool lost = luck < config_.late_copy + config_.lost_reply ||
+              (writes && Disturbed(lost_write_answers_));
   Duration slow = now_ < state_slow_until_ ? Between(0.1, 0.8) : Duration(0);
   After(slow + Hop(), [this, execute, answer, lost, index] {
     if (state_outage_) {
@@ -437,6 +439,11 @@
   for (const auto& [name, until] : deaf_until_) {
     if (now_ < until && call.address == "addr-" + name + ":1") return;
   }
+  if (std::holds_alternative<CommandWorker>(call.request) &&
+      Disturbed(late_commands_)) {
+    After(Between(2, 16), [execute] { execute(); });
+    return;
+  }
   After(Hop(), [this, execute, answer] {
     auto reply = execute();
     if (!reply) return;
@@ -556,6 +563,7 @@
       Ask(target, make, kReportWait, name, [](std::optional<Reply>) {});
     });
   }
+  if (Disturbed(kept_reports_)) KeepReport(name, make);
   Ask(target, make, kReportWait, name,
       [this, name, number, session, sent](std::optional<Reply> reply) {
         auto it = machines_.find(name);
@@ -728,6 +736,10 @@
       answer.status != Status::kCancelled) {
     Violation("went_back", id + " was cancelled");
   }
+  bool news = !job.accepted ||
+              (answer.status == Status::kCancelled && !job.cancelled) ||
+              (answer.status == Status::kDone && !job.told_done);
+  if (news && now_ < watch_closely_until_) AskEverybody(id);
   if (answer.status == Status::kCancelled) {
     if (!job.asked_cancel) Violation("went_back", id + " cancelled by nobody");
     if (!job.cancelled) job.cancelled = now_;
@@ -936,6 +948,106 @@
   late_writes_until_ = now_ + Seconds(seconds);
 }
 
+void World::LoseWriteAnswers(double share, double seconds) {
+  Note("answers to writes are lost");
+  lost_write_answers_ = {share, now_ + Seconds(seconds)};
+}
+
+void World::DelayCommands(double share, double seconds) {
+  Note("direct commands are held up");
+  late_commands_ = {share, now_ + Seconds(seconds)};
+}
+
+void World::KeepReportsForNextOwner(double share, double seconds,
+                                    double delay_s) {
+  Note("copies of reports are kept for the next owner");
+  kept_reports_ = {share, now_ + Seconds(seconds)};
+  kept_reports_delay_ = Seconds(delay_s);
+}
+
+void World::WatchAnswersClosely(double seconds) {
+  Note("users ask everybody after each answer that is news");
+  watch_closely_until_ = now_ + Seconds(seconds);
+}
+
+bool World::Disturbed(const FaultWindow& window) {
+  return now_ < window.until && Chance() < window.share;
+}
+
+uint64_t World::OwnerStamp(uint32_t part) const {
+  auto entry = state_.entries().find(keys::Part(part));
+  return entry == state_.entries().end() ? 0 : entry->second.stamp;
+}
+
+void World::KeepReport(const std::string& machine, const MakeCommand& report) {
+  uint32_t parts =
+      config_.parts > 0 ? config_.parts : static_cast<uint32_t>(config_.nodes);
+  uint32_t part = PartOf(machine, parts);
+  AwaitNextOwner(machine, report, part, OwnerStamp(part));
+}
+
+void World::AwaitNextOwner(const std::string& machine,
+                           const MakeCommand& report, uint32_t part,
+                           uint64_t stamp) {
+  if (OwnerStamp(part) == stamp) {
+    After(Millis(50), [this, machine, report, part, stamp] {
+      AwaitNextOwner(machine, report, part, stamp);
+    });
+    return;
+  }
+  After(kept_reports_delay_, [this, machine, report] {
+    for (size_t i = 0; i < config_.nodes; ++i) {
+      Ask(i, report, kReportWait, machine, [](const std::optional<Reply>&) {});
+    }
+  });
+}
+
+void World::AskEverybody(const std::string& id) {
+  for (size_t i = 0; i < config_.nodes; ++i) {
+    for (int times = 0; times < 3; ++times) {
+      After(Between(0, 0.03), [this, i, id] { PollOnce(i, id); });
+    }
+    After(Between(0, 0.03), [this, i, id] { SubmitOnce(i, id); });
+  }
+  if (Chance() < 0.1) After(Millis(1), [this, id] { TryCancel(id); });
+}
+
+void World::PollOnce(size_t index, const std::string& id) {
+  Ask(
+      index,
+      [id](RequestId request) -> Command {
+        return PollJob{request, id};
+      },
+      Seconds(2), "",
+      [this, id, asked = now_](const std::optional<Reply>& reply) {
+        JobModel& job = *jobs_[id];
+        int status = reply ? reply->status : 0;
+        if (status == 200) {
+          CheckAnswer(job, std::get<JobAnswer>(reply->body), asked);
+        } else if (status == 404 && job.accepted && asked >= *job.accepted) {
+          Violation("forgotten", id + " answered 404");
+        }
+      });
+}
+
+void World::SubmitOnce(size_t index, const std::string& id) {
+  JobModel& job = *jobs_[id];
+  Ask(
+      index,
+      [spec = job.spec](RequestId request) -> Command {
+        return SubmitJob{request, spec};
+      },
+      Seconds(5), "",
+      [this, id, asked = now_](const std::optional<Reply>& reply) {
+        int status = reply ? reply->status : 0;
+        if (status == 200 || status == 201) {
+          CheckAnswer(*jobs_[id], std::get<JobAnswer>(reply->body), asked);
+        } else if (status == 400 || status == 422) {
+          Violation("forgotten", fmt::format("{} answered {}", id, status));
+        }
+      });
+}
+
 void World::SlowState(double seconds) {
   Note("the state service is slow");
   state_slow_until_ = now_ + Seconds(seconds);
@@ -1200,10 +1312,22 @@
 
 // What the operators' list of meetings names.
 void World::MeetingTrouble(size_t index) {
-  switch (Pick(7)) {
+  switch (Pick(11)) {
     case 0:
       LateWrites(0.3, ToSeconds(Between(5, 15)));
       break;
+    case 7:
+      LoseWriteAnswers(0.4, ToSeconds(Between(3, 15)));
+      break;
+    case 8:
+      DelayCommands(0.6, ToSeconds(Between(5, 18)));
+      break;
+    case 9:
+      KeepReportsForNextOwner(0.2, 18, ToSeconds(Between(0, 3)));
+      break;
+    case 10:
+      WatchAnswersClosely(15);
+      break;
     case 1:
       DeafenMachines(0.3, ToSeconds(Between(3, 18)));
       break;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -85,6 +85,12 @@
   bool log_debug = false;
 };
 
+// Until when a kind of message is disturbed, and how large a share of them.
+struct FaultWindow {
+  double share = 0;
+  SteadyTime until{};
+};
+
 class World {
  public:
   explicit World(WorldConfig config);
@@ -112,6 +118,17 @@
   void StopState(Duration how_long);
   // Transactions get no answer and are carried out 2 to 12 s later.
   void LateWrites(double share, double seconds);
+  // Transactions are carried out at once and only their answers are lost.
+  void LoseWriteAnswers(double share, double seconds);
+  // Direct commands are held up for 2 to 16 s, unanswered, and carried out
+  // then.
+  void DelayCommands(double share, double seconds);
+  // Copies of reports are kept until the machine's partition has a new owner,
+  // and reach every controller so long after that.
+  void KeepReportsForNextOwner(double share, double seconds, double delay_s);
+  // Right after a job was accepted, ended or cancelled, users ask about it and
+  // repeat its submission at all controllers within milliseconds; some cancel.
+  void WatchAnswersClosely(double seconds);
   void SlowState(double seconds);
   void CrashNode(size_t index, Duration down);
   void CrashAllNodes(double down_s);
@@ -135,6 +152,10 @@
   // The same of a team that has neither a guarantee nor a limit.
   JobSpec& AddGuestJobAt(double second, const std::string& id, uint32_t tasks,
                          double run_s, double cpus);
+  // Its user calls the job off, accepted or not.
+  void CancelAt(double second, const std::string& id) {
+    At(second, [this, id] { TryCancel(id); });
+  }
   // Its tasks fail on every machine until its user cancels it.
   void AddBrokenJobAt(double second, const std::string& id, uint32_t tasks,
                       double cancel_after_s);
@@ -266,6 +287,15 @@
   void CheckServed();
   void SendOddRequest();
   void AskAboutNobodysJob();
+  bool Disturbed(const FaultWindow& window);
+  using MakeCommand = std::function<Command(RequestId)>;
+  void KeepReport(const std::string& machine, const MakeCommand& report);
+  void AwaitNextOwner(const std::string& machine, const MakeCommand& report,
+                      uint32_t part, uint64_t stamp);
+  uint64_t OwnerStamp(uint32_t part) const;
+  void AskEverybody(const std::string& id);
+  void PollOnce(size_t index, const std::string& id);
+  void SubmitOnce(size_t index, const std::string& id);
   void Violation(const std::string& rule, const std::string& what);
   void Note(std::string what);
 
@@ -298,6 +328,11 @@
   std::map<std::string, SteadyTime> mute_until_;
   double late_writes_ = 0;
   SteadyTime late_writes_until_{};
+  FaultWindow lost_write_answers_;
+  FaultWindow late_commands_;
+  FaultWindow kept_reports_;
+  Duration kept_reports_delay_{0};
+  SteadyTime watch_closely_until_{};
   double cancel_at_end_ = 0;
   int starts_after_cancellation_ = 0;
   int lost_with_lease_ = 0;
