--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -35,9 +36,8 @@
   }
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+// Reads the command line and runs a controller; returns the exit status.
+int Run(int argc, char** argv) {
   CLI::App app{
       "pitchfall: a cluster scheduler. Runs one controller until it is "
       "killed."};
@@ -52,25 +52,28 @@
   app.set_version_flag("--version", kVersion);
   CLI11_PARSE(app, argc, argv);
 
+  pitchfall::Deployment deployment = pitchfall::cli::LoadDeployment(config);
+  pitchfall::Tuning tuning;
+  if (!settings.empty()) tuning = pitchfall::cli::LoadTuning(settings);
+  if (check) {
+    std::cout << "settings are valid\n";
+    return EXIT_SUCCESS;
+  }
+  SetUpLogging();
+  // A peer that goes away in the middle of a write is an ordinary event.
+  std::signal(SIGPIPE, SIG_IGN);
+  pitchfall::io::Runtime runtime(deployment, tuning);
+  runtime.Run();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
   try {
-    pitchfall::Deployment deployment = pitchfall::cli::LoadDeployment(config);
-    pitchfall::Tuning tuning;
-    if (!settings.empty()) tuning = pitchfall::cli::LoadTuning(settings);
-    if (check) {
-      std::cout << "settings are valid\n";
-      return EXIT_SUCCESS;
-    }
-    SetUpLogging();
-    // A peer that goes away in the middle of a write is an ordinary event.
-    std::signal(SIGPIPE, SIG_IGN);
-    pitchfall::io::Runtime runtime(deployment, tuning);
-    runtime.Run();
-  } catch (const pitchfall::cli::SettingsError& problem) {
-    std::cerr << "pitchfall: " << problem.what() << "\n";
-    return EXIT_FAILURE;
+    return Run(argc, argv);
   } catch (const std::exception& problem) {
-    std::cerr << "pitchfall: " << problem.what() << "\n";
+    std::fprintf(stderr, "pitchfall: %s\n", problem.what());
     return EXIT_FAILURE;
   }
-  return EXIT_SUCCESS;
 }
--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -22,18 +22,21 @@
 // Reads come several times a second; one that is late means little, a second
 // without any that this controller or the state service has trouble.
 constexpr Duration kHealthyAge = Millis(1200);
+// Told as the age of the state by who has not read it yet.
+constexpr Duration kNeverRead = Millis(3'600'000);
 // Of the shared rates, so that bursts that meet seldom go over.
 constexpr double kUsable = 0.95;
 
 }  // namespace
 
-Controller::Controller(Deployment deployment, Tuning tuning, std::string life)
+Controller::Controller(Deployment deployment, Tuning tuning,
+                       const std::string& life)
     : deployment_(std::move(deployment)),
       tuning_(tuning),
       requests_(deployment_.state_rps / 3, deployment_.state_rps / 3),
       writes_(deployment_.state_writes / 3, deployment_.state_writes / 3),
       cloud_(deployment_.cloud_rps / 2, deployment_.cloud_rps),
-      follower_(deployment_, tuning_, out_, mirror_, requests_),
+      follower_(tuning_, out_, mirror_, requests_),
       context_{deployment_,
                tuning_,
                out_,
@@ -236,8 +239,7 @@
   hello.label = deployment_.label;
   hello.life = context_.life;
   hello.sent = out_.now().wall;
-  hello.state_age =
-      follower_.loaded() ? follower_.Age() : Duration(Millis(3600 * 1000));
+  hello.state_age = follower_.loaded() ? follower_.Age() : kNeverRead;
   // Smoothed over about two seconds.
   auto follow = [passed](double& rate, double& before, double taken) {
     rate += (std::max(0.0, taken - before) / passed - rate) * 0.25;
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -21,7 +21,7 @@
 class Controller {
  public:
   // `life` must differ from that of every process that ever ran.
-  Controller(Deployment deployment, Tuning tuning, std::string life);
+  Controller(Deployment deployment, Tuning tuning, const std::string& life);
 
   // Works through a batch of commands at one moment and returns what is to be
   // done. A Tick should come at least every few tens of milliseconds.
--- a/src/core/fleet.cc
+++ b/src/core/fleet.cc
@@ -100,7 +100,7 @@
 }
 
 void Fleet::FetchList(std::string after,
-                      std::shared_ptr<std::set<std::string>> seen,
+                      const std::shared_ptr<std::set<std::string>>& seen,
                       SteadyTime started) {
   context_.out.CallCloud(
       ListMachines{std::move(after)}, context_.tuning.cloud_timeout,
@@ -119,9 +119,8 @@
           Known& known = machines_[listed.name];
           known.offer = {listed.type, listed.zone, listed.spot};
           // A list may be older than the one before.
-          if (is_new || known.status == MachineStatus::kBooting) {
-            known.status = listed.status;
-          } else if (listed.status == MachineStatus::kFailed) {
+          if (is_new || known.status == MachineStatus::kBooting ||
+              listed.status == MachineStatus::kFailed) {
             known.status = listed.status;
           }
           if (is_new) known.rented = started - listed.age;
@@ -546,8 +545,9 @@
       Transaction txn;
       txn.conditions.push_back({keys::Rental(name), rental.stamp});
       txn.writes.push_back({keys::Rental(name), {}, 0});
-      Store(std::move(txn),
-            [this, name](const StateReply&) { deleting_.erase(name); });
+      Store(std::move(txn), [this, rental_name = name](const StateReply&) {
+        deleting_.erase(rental_name);
+      });
     }
   }
 }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -45,7 +45,8 @@
   };
 
   void FetchTypes();
-  void FetchList(std::string after, std::shared_ptr<std::set<std::string>> seen,
+  void FetchList(std::string after,
+                 const std::shared_ptr<std::set<std::string>>& seen,
                  SteadyTime started);
   void OnList(const std::set<std::string>& seen, SteadyTime started);
   void Resize();
--- a/src/core/follower.cc
+++ b/src/core/follower.cc
@@ -47,7 +47,7 @@
   SteadyTime now = out_.now().steady;
   if (listing_ && now - listing_->begun > kOldestListing) listing_.reset();
   if (!listing_) {
-    listing_.emplace();
+    listing_ = Listing{};
     listing_->begun = now;
   }
   out_.CallState(ListRead{listing_->after}, tuning_.state_timeout,
--- a/src/core/follower.h
+++ b/src/core/follower.h
@@ -18,13 +18,9 @@
   // Called with whether the read succeeded.
   using Waiter = std::function<void(bool)>;
 
-  Follower(const Deployment& deployment, const Tuning& tuning, Outbox& out,
-           Mirror& mirror, TokenBucket& requests)
-      : deployment_(deployment),
-        tuning_(tuning),
-        out_(out),
-        mirror_(mirror),
-        requests_(requests) {}
+  Follower(const Tuning& tuning, Outbox& out, Mirror& mirror,
+           TokenBucket& requests)
+      : tuning_(tuning), out_(out), mirror_(mirror), requests_(requests) {}
 
   // Starts a read if one is due and none is under way.
   void Step();
@@ -53,7 +49,6 @@
   void OnPage(const StateReply& reply);
   void Finish(bool ok);
 
-  const Deployment& deployment_;
   const Tuning& tuning_;
   Outbox& out_;
   Mirror& mirror_;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -640,10 +640,13 @@
       if (!MayTouch(draft, job, chunk)) continue;
       task.ending = true;
       ChunkRecord& record = Touch(draft, job, chunk).record;
-      std::erase_if(record.assigned, [&](const Assignment& a) {
-        return a.task == key.second && a.attempt == task.attempt &&
-               a.machine == name;
-      });
+      // Structured bindings cannot be captured as they are by all compilers.
+      std::erase_if(record.assigned,
+                    [task_number = key.second, attempt = task.attempt,
+                     &machine_name = name](const Assignment& a) {
+                      return a.task == task_number && a.attempt == attempt &&
+                             a.machine == machine_name;
+                    });
       if (verdict == Verdict::kDone) {
         AddTask(record.done, key.second);
         draft.successes.push_back({name, key.first});
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -178,6 +178,7 @@
   }
   std::sort(ranked.begin(), ranked.end(), by_rank);
   std::vector<const Job*> jobs;
+  jobs.reserve(ranked.size());
   for (const auto& [rank, job] : ranked) jobs.push_back(job);
   return jobs;
 }
--- a/src/core/preemption.cc
+++ b/src/core/preemption.cc
@@ -1,6 +1,7 @@
 #include "core/preemption.h"
 
 #include <algorithm>
+#include <boost/range/adaptor/reversed.hpp>
 #include <map>
 
 #include "core/placement.h"
@@ -22,9 +23,10 @@
   int priority = 0;
 };
 
-// Neither a job that had to wait long to begin nor one that has grown old makes
-// room for what it goes before by now: it would be started again at once.
-bool Spared(const Job& job, WallTime now) {
+// Whether the job had to wait so long to begin that it went before all others,
+// and none of its tasks has completed since. Such a job makes no room: it would
+// be started again at once.
+bool HasRecentlyBegunLate(const Job& job, WallTime now) {
   return job.done == 0 && now - job.record.submitted >= kMustBegin;
 }
 
@@ -32,18 +34,16 @@
 std::vector<Candidate> Candidates(const std::vector<const Job*>& jobs,
                                   const std::string& team, WallTime now) {
   std::vector<Candidate> candidates;
-  for (auto it = jobs.rbegin(); it != jobs.rend(); ++it) {
-    const Job* job = *it;
+  for (const Job* job : boost::adaptors::reverse(jobs)) {
     if (job->spec().team != team || job->spec().checkpoint.count() == 0 ||
-        Spared(*job, now)) {
+        HasRecentlyBegunLate(*job, now)) {
       continue;
     }
     int priority = AgedPriority(*job, now);
-    for (auto chunk = job->chunks.rbegin(); chunk != job->chunks.rend();
-         ++chunk) {
-      const auto& assigned = chunk->second.record.assigned;
-      for (auto a = assigned.rbegin(); a != assigned.rend(); ++a) {
-        candidates.push_back({job, *a, priority});
+    for (const auto& [number, chunk] : boost::adaptors::reverse(job->chunks)) {
+      const auto& assigned = chunk.record.assigned;
+      for (const Assignment& assignment : boost::adaptors::reverse(assigned)) {
+        candidates.push_back({job, assignment, priority});
       }
     }
   }
--- a/src/core/segments.cc
+++ b/src/core/segments.cc
@@ -79,6 +79,7 @@
   for (const SegmentFiller& filler : fillers) total += filler.size();
   if (total > limits.total_bytes) return std::nullopt;
   std::vector<SegmentRecord> segments;
+  segments.reserve(fillers.size());
   for (const SegmentFiller& filler : fillers) {
     segments.push_back(filler.segment());
   }
--- a/src/io/front.cc
+++ b/src/io/front.cc
@@ -10,8 +10,8 @@
 namespace pitchfall::io {
 namespace {
 
-constexpr size_t kMostBody = 64 * 1024;
-constexpr size_t kMostHeaders = 16 * 1024;
+constexpr size_t kMostBody = size_t{64} * 1024;
+constexpr size_t kMostHeaders = size_t{16} * 1024;
 constexpr int kIdleSeconds = 60;
 constexpr Duration kAcceptPause = Millis(200);
 constexpr Duration kCrowdedRetry = Millis(2000);
--- a/src/io/peers.cc
+++ b/src/io/peers.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // A connection on which this much waits to be sent leads nowhere.
-constexpr size_t kMostWaiting = 16 * 1024;
+constexpr size_t kMostWaiting = size_t{16} * 1024;
 constexpr size_t kMostIncoming = 64;
 
 }  // namespace
--- a/src/wire/peer.cc
+++ b/src/wire/peer.cc
@@ -11,7 +11,7 @@
 namespace pitchfall::wire {
 namespace {
 
-constexpr size_t kMostBytes = 64 * 1024;
+constexpr size_t kMostBytes = size_t{64} * 1024;
 constexpr size_t kWord = sizeof(capnp::word);
 
 kj::Array<capnp::word> Aligned(std::string_view data) {
--- a/tests/bound_test.cc
+++ b/tests/bound_test.cc
@@ -34,7 +34,7 @@
         requests_(1000, 1000),
         writes_(1000, 1000),
         cloud_(1000, 1000),
-        follower_(deployment_, tuning_, out_, mirror_, requests_),
+        follower_(tuning_, out_, mirror_, requests_),
         context_{
             deployment_, tuning_,
             out_,        mirror_,
--- a/tests/core_test.cc
+++ b/tests/core_test.cc
@@ -300,12 +300,11 @@
 // A list of many pages goes on where a page failed. Begun anew each time it
 // would never end while the state service refuses one request in three.
 TEST(Follower, GoesOnWithTheListWhereItFailed) {
-  Deployment deployment;
   Tuning tuning;
   Outbox out;
   Mirror mirror;
   TokenBucket requests(100, 100);
-  Follower follower(deployment, tuning, out, mirror, requests);
+  Follower follower(tuning, out, mirror, requests);
   Now now{SteadyTime(Seconds(1000)), WallTime(Seconds(1000))};
   constexpr int kPages = 8;
   auto key = [](int page) { return "pf/jobs/run-" + std::to_string(page); };
@@ -386,16 +385,18 @@
 }
 
 TEST(Drain, KeepsAsManyNamesAsAValueTakes) {
+  constexpr size_t kValueBytes = 8192;
   std::vector<std::string> names;
+  names.reserve(3000);
   for (int i = 0; i < 3000; ++i) {
     names.push_back("m-" + std::to_string(100000 + i));
   }
   std::vector<std::string> all = names;
-  KeepWithin(names, 8 * 1024);
+  KeepWithin(names, kValueBytes);
   size_t json = std::string("{\"machines\":[]}").size();
   for (const std::string& name : names) json += name.size() + 3;
-  EXPECT_LE(json, 8u * 1024);
-  EXPECT_GT(json, 8u * 1024 - 100);
+  EXPECT_LE(json, kValueBytes);
+  EXPECT_GT(json, kValueBytes - 100);
   EXPECT_TRUE(std::equal(names.begin(), names.end(), all.begin()));
   KeepWithin(all, 100000);
   EXPECT_EQ(all.size(), 3000u);
--- a/tests/playground/main.cc
+++ b/tests/playground/main.cc
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -19,8 +20,10 @@
 
 int Serve(const std::string& folder, double task_s) {
   io::EventBase base(event_base_new());
+  constexpr int kControllers = 3;
   std::vector<Controller> controllers;
-  for (int i = 0; i < 3; ++i) {
+  controllers.reserve(kControllers);
+  for (int i = 0; i < kControllers; ++i) {
     controllers.push_back({fmt::format("node-{}", i),
                            fmt::format("127.0.0.1:{}", FreePort()),
                            fmt::format("127.0.0.1:{}", FreePort())});
@@ -72,11 +75,8 @@
   return {true, "/api/jobs", out.Take()};
 }
 
-}  // namespace
-}  // namespace pitchfall::playground
-
-int main(int argc, char** argv) {
-  using namespace pitchfall;
+// Reads the command line and does what it says; returns the exit status.
+int Run(int argc, char** argv) {
   CLI::App app{"A platform of stand-ins for pitchfall, on loopback."};
   app.require_subcommand(1);
   std::string folder, address, id;
@@ -100,15 +100,22 @@
   auto* cancel = user("cancel", "cancel a job");
   CLI11_PARSE(app, argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
+  if (*serve) return Serve(folder, task_s);
+  wire::HttpRequest request;
+  if (*submit) request = Submission(id, tasks, cpus);
+  if (*poll) request.path = "/api/jobs/" + id;
+  if (*cancel) request = {true, "/api/jobs/" + id + "/cancel", ""};
+  return Ask(address, std::move(request));
+}
+
+}  // namespace
+}  // namespace pitchfall::playground
+
+int main(int argc, char** argv) {
   try {
-    if (*serve) return playground::Serve(folder, task_s);
-    wire::HttpRequest request;
-    if (*submit) request = playground::Submission(id, tasks, cpus);
-    if (*poll) request.path = "/api/jobs/" + id;
-    if (*cancel) request = {true, "/api/jobs/" + id + "/cancel", ""};
-    return playground::Ask(address, std::move(request));
+    return pitchfall::playground::Run(argc, argv);
   } catch (const std::exception& problem) {
-    std::cerr << "pitchfall_playground: " << problem.what() << "\n";
+    std::fprintf(stderr, "pitchfall_playground: %s\n", problem.what());
     return EXIT_FAILURE;
   }
 }
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -136,7 +136,7 @@
 }
 
 TEST_F(Program, AnswersWhatItCannotTake) {
-  auto expect = [&](wire::HttpRequest request, int wanted) {
+  auto expect = [&](const wire::HttpRequest& request, int wanted) {
     EXPECT_TRUE(Until(
         1, request,
         [wanted](int status, const std::string&) { return status == wanted; }))
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -451,12 +451,11 @@
   });
 }
 
-void World::Ask(size_t index, std::function<Command(RequestId)> make,
-                Duration timeout, const std::string& machine,
-                OnAnswer on_answer) {
+void World::Ask(size_t index, const MakeCommand& make, Duration timeout,
+                const std::string& machine, const OnAnswer& on_answer) {
   auto answered = std::make_shared<bool>(false);
-  auto answer = [answered, on_answer](std::optional<Reply> reply) {
-    if (!std::exchange(*answered, true)) on_answer(std::move(reply));
+  auto answer = [answered, on_answer](const std::optional<Reply>& reply) {
+    if (!std::exchange(*answered, true)) on_answer(reply);
   };
   After(timeout, [answer] { answer(std::nullopt); });
   Node& node = *nodes_[index];
@@ -476,7 +475,7 @@
     if (!n.controller) return;
     RequestId id = ++n.last_request;
     n.waiting[id] = [this, index, answer, worker,
-                     machine](std::optional<Reply> reply) {
+                     machine](const std::optional<Reply>& reply) {
       if (worker && now_ < nodes_[index]->worker_cut_until) return;
       if (CutOff(index, machine)) return;
       After(Hop(), [answer, reply] { answer(reply); });
@@ -560,12 +559,13 @@
   if (Chance() < config_.late_report) {
     // A copy that the network held back; its answer goes nowhere.
     After(Between(1, config_.late_report_s), [this, target, make, name] {
-      Ask(target, make, kReportWait, name, [](std::optional<Reply>) {});
+      Ask(target, make, kReportWait, name, [](const std::optional<Reply>&) {});
     });
   }
   if (Disturbed(kept_reports_)) KeepReport(name, make);
   Ask(target, make, kReportWait, name,
-      [this, name, number, session, sent](std::optional<Reply> reply) {
+      [this, name, number, session, sent](const std::optional<Reply>& given) {
+        std::optional<Reply> reply = given;
         auto it = machines_.find(name);
         if (it == machines_.end() || it->second->report_number != number) {
           return;
@@ -760,7 +760,7 @@
     return SubmitJob{request, spec};
   };
   Ask(Pick(config_.nodes), make, Seconds(5), "",
-      [this, id, since, asked = now_](std::optional<Reply> reply) {
+      [this, id, since, asked = now_](const std::optional<Reply>& reply) {
         JobModel& j = *jobs_[id];
         int status = reply ? reply->status : 0;
         if (status == 200 || status == 201) {
@@ -791,7 +791,7 @@
         return PollJob{request, id};
       },
       Seconds(2), "",
-      [this, id, asked = now_](std::optional<Reply> reply) {
+      [this, id, asked = now_](const std::optional<Reply>& reply) {
         JobModel& job = *jobs_[id];
         int status = reply ? reply->status : 0;
         if (status == 200) {
@@ -819,7 +819,7 @@
         return CancelJob{request, id};
       },
       Seconds(5), "",
-      [this, id, asked = now_](std::optional<Reply> reply) {
+      [this, id, asked = now_](const std::optional<Reply>& reply) {
         JobModel& job = *jobs_[id];
         if (reply && reply->status == 200) {
           CheckAnswer(job, std::get<JobAnswer>(reply->body), asked);
@@ -1178,7 +1178,7 @@
         return PollJob{request, id};
       },
       Seconds(2), "",
-      [this, id](std::optional<Reply> reply) {
+      [this, id](const std::optional<Reply>& reply) {
         if (reply && reply->status == 200) Violation("invented", id);
       });
   After(Millis(20), [this] { AskAboutNobodysJob(); });
@@ -1393,7 +1393,7 @@
     Ask(
         kIsolated, [](RequestId id) -> Command { return HealthCheck{id}; },
         Seconds(1), "",
-        [this](std::optional<Reply> reply) {
+        [this](const std::optional<Reply>& reply) {
           isolated_said_unhealthy_ = reply && reply->status == 503;
         });
     // Users who are still connected learn at once that they should not be.
@@ -1403,7 +1403,7 @@
           return PollJob{id, "run-000000"};
         },
         Seconds(1), "",
-        [this](std::optional<Reply> reply) {
+        [this](const std::optional<Reply>& reply) {
           bool sent_on = reply && (reply->status == 200 || reply->close);
           lost_on_isolated_ += !sent_on;
         });
@@ -1615,7 +1615,7 @@
         return SubmitJob{request, spec};
       },
       Seconds(5), "",
-      [this, spec](std::optional<Reply> reply) {
+      [this, spec](const std::optional<Reply>& reply) {
         int status = reply ? reply->status : 0;
         if (status == 200 || status == 201) {
           Violation("accepted_odd", spec.id + " can never run");
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -237,10 +237,11 @@
   void PerformWorker(Node& node, const WorkerCall& call);
   // Asks a controller as a client would; the answer comes within `timeout` or
   // never (none).
-  using OnAnswer = std::function<void(std::optional<Reply>)>;
+  using OnAnswer = std::function<void(const std::optional<Reply>&)>;
   // `machine`: which asks; empty for users.
-  void Ask(size_t index, std::function<Command(RequestId)> make,
-           Duration timeout, const std::string& machine, OnAnswer on_answer);
+  using MakeCommand = std::function<Command(RequestId)>;
+  void Ask(size_t index, const MakeCommand& make, Duration timeout,
+           const std::string& machine, const OnAnswer& on_answer);
 
   // Machines.
   void AddMachine(const standins::Cloud::Machine& machine);
@@ -288,7 +289,6 @@
   void SendOddRequest();
   void AskAboutNobodysJob();
   bool Disturbed(const FaultWindow& window);
-  using MakeCommand = std::function<Command(RequestId)>;
   void KeepReport(const std::string& machine, const MakeCommand& report);
   void AwaitNextOwner(const std::string& machine, const MakeCommand& report,
                       uint32_t part, uint64_t stamp);
--- a/tests/standins/state_service.cc
+++ b/tests/standins/state_service.cc
@@ -15,8 +15,8 @@
 
 constexpr size_t kItems = 100000;
 constexpr size_t kDepth = 32;
-constexpr size_t kMostTransaction = 64 * 1024;
-constexpr size_t kMostPage = 512 * 1024;
+constexpr size_t kMostTransaction = size_t{64} * 1024;
+constexpr size_t kMostPage = size_t{512} * 1024;
 
 std::string Repack(const msgpack::object& value) {
   msgpack::sbuffer buffer;
