Which jobs and machines are at fault is a class of its own

FailureTracker takes what Part::Remember weighed: errors by job and machine, retries, machines to avoid, quarantine. Same decisions and log events; part.cc loses the bookkeeping.

--- a/src/core/machines.h
+++ b/src/core/machines.h
@@ -87,10 +87,6 @@
   std::optional<SteadyTime> idle_since;
   SteadyTime paused_until{};  // refused a start a moment ago
   SteadyTime next_stop{};     // a direct command failed a moment ago
-  // Jobs whose tasks ended in errors here since the last success.
-  std::set<std::string> error_jobs;
-  int errors = 0;          // since then, of jobs that run elsewhere
-  bool succeeded = false;  // has ever completed a task for this owner
   // Images that are surely there, and those of held tasks (how many) and of
   // tasks in the transaction being built, which will be.
   std::set<std::string> images;
--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -1,7 +1,6 @@
 #include "core/part.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "core/demand.h"
 #include "core/hash.h"
@@ -33,8 +32,6 @@
 // A start does not count for users if the task is stopped sooner.
 constexpr Duration kLeastRun = Millis(32000);
 constexpr Duration kWorthMoving = Millis(10000);
-// Jobs without any success that fail on one machine before it is suspected.
-constexpr int kSuspectJobs = 3;
 // A part's report fits into a value whatever fails.
 constexpr size_t kMostFailing = 100;
 // A small record's, with names of fields.
@@ -495,6 +492,7 @@
       }
     }
     if (machine.gone && machine.deleting && machine.held.empty()) {
+      failures_.ForgetMachine(machine.name);
       it = machines_.erase(it);
     } else {
       ++it;
@@ -754,12 +752,7 @@
   for (const Assignment& assignment : record.assigned) {
     AddTask(taken, assignment.task);
   }
-  static const std::set<std::string> kNone;
-  auto health = job_health_.find(spec.id);
-  const std::set<std::string>& avoid =
-      health == job_health_.end() || health->second.at_fault()
-          ? kNone
-          : health->second.failed_on;
+  const std::set<std::string>& avoid = failures_.MachinesToAvoid(spec.id);
   bool hurried = context_.deployment.StartsWithin(
       spec.job_class, 2 * context_.deployment.report);
   for (uint32_t task = job.chunk_begin(chunk); task < job.chunk_end(chunk);
@@ -948,8 +941,7 @@
     waiting[spec.id] = since == waiting_since_.end() ? now : since->second;
     waiting_since_.emplace(spec.id, now);
     if (context_.told_cancelled.contains(spec.id)) continue;
-    auto health = job_health_.find(spec.id);
-    if (health != job_health_.end() && now < health->second.retry_at) continue;
+    if (!failures_.MayRetry(spec.id, now)) continue;
     ZoneUse use;
     if (job->constrained()) {
       for (const auto& [number, chunk] : job->chunks) {
@@ -986,12 +978,7 @@
   if (period <= reported_period_ || draft.others() >= draft_limit_) return;
   LoadRecord load;
   load.period = period;
-  for (const auto& [id, health] : job_health_) {
-    if (load.failing.size() >= kMostFailing) break;
-    if (health.at_fault()) {
-      load.failing.push_back(id);
-    }
-  }
+  load.failing = failures_.FailingJobs(kMostFailing);
   Demand demand =
       MeasureDemand(context_.mirror, context_.deployment,
                     {load.failing.begin(), load.failing.end()},
@@ -1294,54 +1281,11 @@
   started_ += draft.starts;
   waited_ += draft.waited;
   for (const auto& [name, job] : draft.successes) {
-    auto machine = machines_.find(name);
-    if (machine != machines_.end()) {
-      machine->second.error_jobs.clear();
-      machine->second.errors = 0;
-      machine->second.succeeded = true;
-    }
-    // It runs here, so where it failed the machine is at fault, unless that has
-    // completed something since.
-    auto health = job_health_.extract(job);
-    if (health.empty()) continue;
-    for (const std::string& other : health.mapped().failed_on) {
-      auto failed = machines_.find(other);
-      if (failed == machines_.end()) continue;
-      if (failed->second.error_jobs.contains(job)) Quarantine(other);
-    }
-  }
-  for (const auto& [name, job] : draft.failures) {
-    JobHealth& health = job_health_[job];
-    health.failed_on.insert(name);
-    health.failures += 1;
-    auto found = machines_.find(name);
-    if (found != machines_.end()) found->second.error_jobs.insert(job);
-    if (health.at_fault()) {
-      double wait = std::min(60.0, 2.0 * std::pow(1.5, health.failures));
-      health.retry_at = now + Seconds(wait);
-      context_.out.Log(LogLevel::kInfo,
-                       "event=job_failing job={} machines={} retry_in={:.0f}",
-                       job, health.failed_on.size(), wait);
-      continue;
-    }
-    if (found == machines_.end()) continue;
-    Machine& machine = found->second;
-    // A job of which tasks have completed is not at fault. Of the others any
-    // may be: only when several fail here, none of them known to fail
-    // everywhere, is it the machine.
-    const Job* known = context_.mirror.FindJob(job);
-    if (known != nullptr && known->done > 0) machine.errors += 1;
-    auto suspects = std::count_if(
-        machine.error_jobs.begin(), machine.error_jobs.end(),
-        [this](const std::string& other) {
-          auto of = job_health_.find(other);
-          return of == job_health_.end() || !of->second.at_fault();
-        });
-    if (machine.errors >= (machine.succeeded ? 2 : 1) ||
-        suspects >= kSuspectJobs) {
-      Quarantine(name);
+    for (const std::string& at_fault : failures_.RecordSuccess(name, job)) {
+      Quarantine(at_fault);
     }
   }
+  for (const auto& [name, job] : draft.failures) RememberFailure(name, job);
   for (const auto& [name, job] : draft.refusals) {
     // What the worker holds and what is stored differ for a moment.
     auto found = machines_.find(name);
@@ -1353,6 +1297,19 @@
   }
 }
 
+void Part::RememberFailure(const std::string& machine, const std::string& job) {
+  const Job* known = context_.mirror.FindJob(job);
+  bool job_succeeds = known != nullptr && known->done > 0;
+  FailureTracker::Failure failure =
+      failures_.RecordFailure(machine, job, job_succeeds, context_.now());
+  if (failure.job_at_fault) {
+    context_.out.Log(LogLevel::kInfo,
+                     "event=job_failing job={} machines={} retry_in={:.0f}",
+                     job, failure.machines, ToSeconds(failure.retry_in));
+  }
+  if (failure.machine_at_fault) Quarantine(machine);
+}
+
 // A sick machine fails whatever it starts: it is emptied and returned.
 void Part::Quarantine(const std::string& name) {
   auto found = machines_.find(name);
@@ -1360,7 +1317,7 @@
   found->second.sick = true;
   context_.out.Log(LogLevel::kWarning,
                    "event=quarantine machine={} errors={} jobs={}", name,
-                   found->second.errors, found->second.error_jobs.size());
+                   failures_.ErrorsOn(name), failures_.FailedJobsOn(name));
 }
 
 FreeRoom Part::Free() const {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "core/context.h"
+#include "core/failure_tracker.h"
 #include "core/machines.h"
 #include "core/placement.h"
 
@@ -96,14 +97,6 @@
   size_t most_chunks_ = kAnyNumber;
   bool refused_ = false;  // the last one was too large
 
-  struct JobHealth {
-    std::set<std::string> failed_on;
-    int failures = 0;
-    SteadyTime retry_at{};
-    // Failing on so many machines it is taken to be at fault itself.
-    bool at_fault() const { return failed_on.size() >= 3; }
-  };
-
   Machine& GetMachine(const std::string& name);
   // Whether the report is an old copy that says nothing about the machine now.
   bool Outdated(const WorkerReport& report) const;
@@ -172,6 +165,7 @@
                 const StateReply& reply);
 
   void Remember(const Draft& draft);
+  void RememberFailure(const std::string& machine, const std::string& job);
   void Quarantine(const std::string& name);
 
   Context& context_;
@@ -195,7 +189,7 @@
   std::map<std::string, Resources> team_use_everywhere_;
   // Room that waiting jobs ask for, by team and aged priority.
   std::map<std::pair<std::string, int>, Resources> reserved_;
-  std::map<std::string, JobHealth> job_health_;
+  FailureTracker failures_;
   std::map<std::string, SteadyTime> waiting_since_;  // by job
   std::map<std::string, SteadyTime> allotment_unused_since_;
 
