Announcing the fencing token is a class of its own

TokenAnnouncer takes Part's calls to the cloud and to workers after a takeover, and the state that only they use. Same calls, pauses and log events.

--- a/src/core/part.cc
+++ b/src/core/part.cc
@@ -16,12 +16,6 @@
 constexpr Duration kIdlePlanGap = Millis(250);
 constexpr Duration kCommandTimeout = Millis(2000);
 constexpr Duration kStopAgain = Millis(1000);
-// Workers whose owner is gone come by themselves within a few seconds.
-constexpr Duration kFirstReach = Millis(1000);
-constexpr Duration kReachGap = Millis(2500);
-constexpr int kMostReaches = 6;
-// How many workers are shown the token at the same time.
-constexpr int kMostShowing = 32;
 constexpr Duration kLeaseMargin = Millis(500);
 constexpr Duration kCancelMargin = Millis(2000);
 constexpr Duration kAllotmentRest = Millis(5000);
@@ -50,7 +44,10 @@
       owned_since_(context.now()),
       last_heard_(context.now()),
       last_write_(context.now()),
-      next_reach_(context.now() + kFirstReach) {
+      announcer_(context, number, token, [this](const std::string& machine) {
+        auto known = machines_.find(machine);
+        return known != machines_.end() && known->second.token_seen;
+      }) {
   for (const auto& [id, job] : context_.mirror.open_jobs()) {
     for (const auto& [chunk, entry] : job->chunks) {
       OnChunk(*job, chunk, nullptr, &entry);
@@ -332,65 +329,6 @@
   }
 }
 
-void Part::ReachWorkers() {
-  ShowTokens();
-  SteadyTime now = context_.now();
-  if (reaching_ || reaches_ >= kMostReaches || now < next_reach_) return;
-  if (!context_.follower.Fresh() || !context_.cloud.Take(now, 1)) return;
-  ++reaches_;
-  reaching_ = true;
-  // One page at a time, each for a token of its own: pages on credit kept the
-  // leader from renting after restarts.
-  context_.out.CallCloud(
-      ListMachines{reached_to_}, context_.tuning.cloud_timeout,
-      [this, alive = std::weak_ptr<int>(alive_)](const CloudReply& reply) {
-        if (alive.expired()) return;
-        for (const ListedMachine& listed : reply.listed) {
-          if (PartOf(listed.name, context_.parts) == number_ &&
-              !listed.address.empty() &&
-              listed.status != MachineStatus::kFailed) {
-            to_reach_.push_back(listed);
-          }
-        }
-        if (reply.status == 200) {
-          bool more = reply.more && !reply.listed.empty();
-          reached_to_ = more ? reply.listed.back().name : "";
-        }
-        reaching_ = false;
-        next_reach_ = context_.now() + kReachGap;
-      });
-}
-
-// A few at a time: after a takeover there may be thousands, and most come by
-// themselves before their turn.
-void Part::ShowTokens() {
-  while (showing_ < kMostShowing && !to_reach_.empty()) {
-    ListedMachine listed = std::move(to_reach_.front());
-    to_reach_.pop_front();
-    auto machine = machines_.find(listed.name);
-    if (machine != machines_.end() && machine->second.token_seen) continue;
-    ShowToken(listed);
-  }
-}
-
-void Part::ShowToken(const ListedMachine& listed) {
-  ++showing_;
-  context_.out.CallWorker(
-      listed.address, InspectWorker{}, kCommandTimeout,
-      [this, listed,
-       alive = std::weak_ptr<int>(alive_)](const WorkerReply& reply) {
-        if (alive.expired()) return;
-        --showing_;
-        if (!reply.report || reply.report->token >= token_) return;
-        context_.out.Log(LogLevel::kInfo,
-                         "event=show_token part={} machine={} token={}",
-                         number_, listed.name, token_);
-        context_.out.CallWorker(
-            listed.address, CommandWorker{token_, reply.report->session, {}},
-            kCommandTimeout, [](const WorkerReply&) {});
-      });
-}
-
 void Part::AnswerReport(Machine& machine) {
   if (machine.waiting == 0) return;
   if (!MayAnswer()) {
@@ -427,7 +365,7 @@
 void Part::Step() {
   SteadyTime now = context_.now();
   WalkMachines();
-  ReachWorkers();
+  announcer_.Step();
   if (storing_ || now < next_plan_) return;
   if (!dirty_ && now - next_plan_ < kIdlePlanGap) return;
   if (!context_.follower.Fresh()) {
--- a/src/core/part.h
+++ b/src/core/part.h
@@ -12,7 +12,6 @@
 #define PITCHFALL_CORE_PART_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,6 +24,7 @@
 #include "core/failure_tracker.h"
 #include "core/machines.h"
 #include "core/placement.h"
+#include "core/token_announcer.h"
 
 namespace pitchfall {
 
@@ -116,11 +116,6 @@
   void SendStops();
   void OnStopped(const std::string& name, const std::vector<Order>& stops,
                  const WorkerReply& reply);
-  // After a takeover: workers that still answer to an earlier owner are shown
-  // the new token, so that they look for the new one.
-  void ReachWorkers();
-  void ShowTokens();
-  void ShowToken(const ListedMachine& listed);
   void CheckMachines();
   void MoveSavable(Machine& machine);
   void DeleteMachines();
@@ -207,12 +202,7 @@
   SteadyTime next_walk_{};
   bool deleting_ = false;
   SteadyTime next_delete_{};
-  bool reaching_ = false;
-  int reaches_ = 0;
-  std::string reached_to_;  // in the cloud's list
-  std::deque<ListedMachine> to_reach_;
-  int showing_ = 0;  // calls to workers under way for this
-  SteadyTime next_reach_{};
+  TokenAnnouncer announcer_;
 };
 
 }  // namespace pitchfall
--- /dev/null
+++ b/src/core/token_announcer.cc
@@ -0,0 +1,95 @@
+#include "core/token_announcer.h"
+
+#include <utility>
+
+#include "core/hash.h"
+
+namespace pitchfall {
+namespace {
+
+constexpr Duration kCommandTimeout = Millis(2000);
+// Workers whose owner is gone come by themselves within a few seconds.
+constexpr Duration kFirstPageAfter = Millis(1000);
+constexpr Duration kPageGap = Millis(2500);
+constexpr int kMostPages = 6;
+// Calls to workers at the same time: after a takeover there may be thousands of
+// workers, and most come by themselves before their turn.
+constexpr int kMostInspections = 32;
+
+}  // namespace
+
+TokenAnnouncer::TokenAnnouncer(
+    Context& context, uint32_t part, uint64_t token,
+    std::function<bool(const std::string&)> has_seen_token)
+    : context_(context),
+      part_(part),
+      token_(token),
+      has_seen_token_(std::move(has_seen_token)),
+      next_page_(context.now() + kFirstPageAfter) {}
+
+void TokenAnnouncer::Step() {
+  CallWaitingWorkers();
+  FetchNextPage();
+}
+
+// One page at a time, each for a token of the cloud's rate: pages on credit
+// kept the leader from renting after restarts.
+void TokenAnnouncer::FetchNextPage() {
+  SteadyTime now = context_.now();
+  if (fetching_ || pages_asked_for_ >= kMostPages || now < next_page_) return;
+  if (!context_.follower.Fresh() || !context_.cloud.Take(now, 1)) return;
+  ++pages_asked_for_;
+  fetching_ = true;
+  context_.out.CallCloud(
+      ListMachines{last_listed_}, context_.tuning.cloud_timeout,
+      [this, alive = std::weak_ptr<int>(alive_)](const CloudReply& reply) {
+        if (!alive.expired()) OnPage(reply);
+      });
+}
+
+void TokenAnnouncer::OnPage(const CloudReply& reply) {
+  for (const ListedMachine& listed : reply.listed) {
+    bool mine = PartOf(listed.name, context_.parts) == part_;
+    if (mine && !listed.address.empty() &&
+        listed.status != MachineStatus::kFailed) {
+      waiting_.push_back(listed);
+    }
+  }
+  if (reply.status == 200) {
+    bool more = reply.more && !reply.listed.empty();
+    last_listed_ = more ? reply.listed.back().name : "";
+  }
+  fetching_ = false;
+  next_page_ = context_.now() + kPageGap;
+}
+
+void TokenAnnouncer::CallWaitingWorkers() {
+  while (inspecting_ < kMostInspections && !waiting_.empty()) {
+    ListedMachine listed = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (!has_seen_token_(listed.name)) Inspect(listed);
+  }
+}
+
+void TokenAnnouncer::Inspect(const ListedMachine& listed) {
+  ++inspecting_;
+  context_.out.CallWorker(listed.address, InspectWorker{}, kCommandTimeout,
+                          [this, listed, alive = std::weak_ptr<int>(alive_)](
+                              const WorkerReply& reply) {
+                            if (alive.expired()) return;
+                            --inspecting_;
+                            if (!reply.report || reply.report->token >= token_)
+                              return;
+                            SendToken(listed, reply.report->session);
+                          });
+}
+
+void TokenAnnouncer::SendToken(const ListedMachine& listed, uint64_t session) {
+  context_.out.Log(LogLevel::kInfo,
+                   "event=show_token part={} machine={} token={}", part_,
+                   listed.name, token_);
+  context_.out.CallWorker(listed.address, CommandWorker{token_, session, {}},
+                          kCommandTimeout, [](const WorkerReply&) {});
+}
+
+}  // namespace pitchfall
--- /dev/null
+++ b/src/core/token_announcer.h
@@ -0,0 +1,59 @@
+// Shows a new owner's fencing token to workers that still follow an earlier
+// owner.
+//
+// Workers whose owner has ended look for another by themselves. But an earlier
+// owner that has lost the state service and not its workers goes on answering
+// them; only a higher token makes these look for the new owner. So the cloud is
+// asked for all machines, and each worker that has not been heard is inspected
+// and sent the token in a command without orders.
+#ifndef PITCHFALL_CORE_TOKEN_ANNOUNCER_H_
+#define PITCHFALL_CORE_TOKEN_ANNOUNCER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/context.h"
+#include "core/messages.h"
+#include "core/time.h"
+
+namespace pitchfall {
+
+class TokenAnnouncer {
+ public:
+  // `has_seen_token` tells whether the machine of that name has shown the token
+  // already.
+  TokenAnnouncer(Context& context, uint32_t part, uint64_t token,
+                 std::function<bool(const std::string&)> has_seen_token);
+
+  // Asks for the next page of machines and calls the next workers, as far as
+  // the budgets allow.
+  void Step();
+
+ private:
+  void FetchNextPage();
+  void OnPage(const CloudReply& reply);
+  void CallWaitingWorkers();
+  void Inspect(const ListedMachine& listed);
+  void SendToken(const ListedMachine& listed, uint64_t session);
+
+  Context& context_;
+  const uint32_t part_;
+  const uint64_t token_;
+  std::function<bool(const std::string&)> has_seen_token_;
+  // Replies that come after this object's end find it expired.
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+
+  bool fetching_ = false;
+  int pages_asked_for_ = 0;
+  std::string last_listed_;  // the next page begins after it
+  SteadyTime next_page_;
+  std::deque<ListedMachine> waiting_;
+  int inspecting_ = 0;  // calls under way
+};
+
+}  // namespace pitchfall
+
+#endif  // PITCHFALL_CORE_TOKEN_ANNOUNCER_H_
