--- a/tests/standins/cloud.cc
+++ b/tests/fakes/cloud.cc
@@ -1,10 +1,10 @@
-#include "standins/cloud.h"
+#include "fakes/cloud.h"
 
 #include <fmt/format.h>
 
 #include "wire/pack.h"
 
-namespace pitchfall::standins {
+namespace pitchfall::fakes {
 
 using wire::Fields;
 using wire::Malformed;
@@ -143,4 +143,4 @@
   return {200, out.Take()};
 }
 
-}  // namespace pitchfall::standins
+}  // namespace pitchfall::fakes
--- a/tests/standins/cloud.h
+++ b/tests/fakes/cloud.h
@@ -1,6 +1,6 @@
-// A stand-in for the platform's cloud, written from its protocol.
-#ifndef PITCHFALL_TESTS_STANDINS_CLOUD_H_
-#define PITCHFALL_TESTS_STANDINS_CLOUD_H_
+// A fake of the platform's cloud, written from its protocol.
+#ifndef PITCHFALL_TESTS_FAKES_CLOUD_H_
+#define PITCHFALL_TESTS_FAKES_CLOUD_H_
 
 #include <cstdint>
 #include <deque>
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "core/time.h"
-#include "standins/state_service.h"
+#include "fakes/state_service.h"
 
-namespace pitchfall::standins {
+namespace pitchfall::fakes {
 
 class Cloud {
  public:
@@ -69,6 +69,6 @@
   std::deque<std::pair<SteadyTime, std::map<std::string, Machine>>> history_;
 };
 
-}  // namespace pitchfall::standins
+}  // namespace pitchfall::fakes
 
-#endif  // PITCHFALL_TESTS_STANDINS_CLOUD_H_
+#endif  // PITCHFALL_TESTS_FAKES_CLOUD_H_
--- a/tests/standins/state_service.cc
+++ b/tests/fakes/state_service.cc
@@ -1,10 +1,10 @@
-#include "standins/state_service.h"
+#include "fakes/state_service.h"
 
 #include <algorithm>
 
 #include "wire/pack.h"
 
-namespace pitchfall::standins {
+namespace pitchfall::fakes {
 
 using wire::Fields;
 using wire::Malformed;
@@ -243,4 +243,4 @@
   return {200, out.Take()};
 }
 
-}  // namespace pitchfall::standins
+}  // namespace pitchfall::fakes
--- a/tests/standins/state_service.h
+++ b/tests/fakes/state_service.h
@@ -1,7 +1,7 @@
-// A stand-in for the platform's state service, written from its protocol. Time
+// A fake of the platform's state service, written from its protocol. Time
 // is whatever the caller says.
-#ifndef PITCHFALL_TESTS_STANDINS_STATE_SERVICE_H_
-#define PITCHFALL_TESTS_STANDINS_STATE_SERVICE_H_
+#ifndef PITCHFALL_TESTS_FAKES_STATE_SERVICE_H_
+#define PITCHFALL_TESTS_FAKES_STATE_SERVICE_H_
 
 #include <cstdint>
 #include <map>
@@ -11,7 +11,7 @@
 
 #include "core/time.h"
 
-namespace pitchfall::standins {
+namespace pitchfall::fakes {
 
 struct HttpReply {
   int status = 200;
@@ -76,6 +76,6 @@
 std::map<std::string, std::string> ParseQuery(const std::string& target);
 HttpReply Error(int status, std::string_view what);
 
-}  // namespace pitchfall::standins
+}  // namespace pitchfall::fakes
 
-#endif  // PITCHFALL_TESTS_STANDINS_STATE_SERVICE_H_
+#endif  // PITCHFALL_TESTS_FAKES_STATE_SERVICE_H_
--- a/tests/standins/worker.cc
+++ b/tests/fakes/worker.cc
@@ -1,10 +1,10 @@
-#include "standins/worker.h"
+#include "fakes/worker.h"
 
 #include <utility>
 
 #include "wire/pack.h"
 
-namespace pitchfall::standins {
+namespace pitchfall::fakes {
 
 using wire::Fields;
 using wire::Malformed;
@@ -206,4 +206,4 @@
   Exit(task, key, "halted");
 }
 
-}  // namespace pitchfall::standins
+}  // namespace pitchfall::fakes
--- a/tests/standins/worker.h
+++ b/tests/fakes/worker.h
@@ -1,7 +1,7 @@
-// A stand-in for a worker, written from the protocol: one machine, its tasks,
+// A fake of a worker, written from the protocol: one machine, its tasks,
 // its lease and the highest token it has seen.
-#ifndef PITCHFALL_TESTS_STANDINS_WORKER_H_
-#define PITCHFALL_TESTS_STANDINS_WORKER_H_
+#ifndef PITCHFALL_TESTS_FAKES_WORKER_H_
+#define PITCHFALL_TESTS_FAKES_WORKER_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,9 +11,9 @@
 #include <utility>
 
 #include "core/time.h"
-#include "standins/state_service.h"
+#include "fakes/state_service.h"
 
-namespace pitchfall::standins {
+namespace pitchfall::fakes {
 
 // What a worker learns of a job's task from its description.
 struct TaskInfo {
@@ -96,6 +96,6 @@
   bool changed_ = true;
 };
 
-}  // namespace pitchfall::standins
+}  // namespace pitchfall::fakes
 
-#endif  // PITCHFALL_TESTS_STANDINS_WORKER_H_
+#endif  // PITCHFALL_TESTS_FAKES_WORKER_H_
--- a/tests/playground/main.cc
+++ b/tests/playground/main.cc
@@ -1,4 +1,4 @@
-// pitchfall_playground: a platform of stand-ins on loopback, and a user's side
+// pitchfall_playground: a platform of fakes on loopback, and a user's side
 // to it. For trying things out by hand; see README.md.
 #include <fmt/format.h>
 
@@ -77,7 +77,7 @@
 
 // Reads the command line and does what it says; returns the exit status.
 int Run(int argc, char** argv) {
-  CLI::App app{"A platform of stand-ins for pitchfall, on loopback."};
+  CLI::App app{"A platform of fakes for pitchfall, on loopback."};
   app.require_subcommand(1);
   std::string folder, address, id;
   double task_s = 2;
--- a/tests/playground/platform.cc
+++ b/tests/playground/platform.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 struct Platform::Box {
-  std::unique_ptr<standins::Worker> worker;
+  std::unique_ptr<fakes::Worker> worker;
   std::vector<std::unique_ptr<io::HttpClient>> nodes;
   size_t node = 0;
   bool waiting = false;
@@ -50,16 +50,16 @@
     : base_(base),
       controllers_(std::move(controllers)),
       task_run_(task_run),
-      state_(standins::StateService::Limits{20, 16, 10000}),
+      state_(fakes::StateService::Limits{20, 16, 10000}),
       cloud_([] {
-        standins::Cloud::Config config;
+        fakes::Cloud::Config config;
         config.types.front().boot_s = 1;
         config.list_lag = Millis(500);
         return config;
       }()) {
   state_port_ = Serve(state_server_, &Platform::State);
   cloud_port_ = Serve(cloud_server_, &Platform::Cloud);
-  cloud_.on_rent = [this](const standins::Cloud::Machine& machine) {
+  cloud_.on_rent = [this](const fakes::Cloud::Machine& machine) {
     booting_.push_back({Now() + kBoot, machine});
   };
   cloud_.on_delete = [this](const std::string& name) {
@@ -93,29 +93,29 @@
   std::string body(evbuffer_get_length(input), '\0');
   evbuffer_copyout(input, body.data(), body.size());
   bool post = evhttp_request_get_command(request) == EVHTTP_REQ_POST;
-  standins::HttpReply reply = (route->platform->*route->handler)(
+  fakes::HttpReply reply = (route->platform->*route->handler)(
       post ? "POST" : "GET", evhttp_request_get_uri(request), body);
   evbuffer_add(evhttp_request_get_output_buffer(request), reply.body.data(),
                reply.body.size());
   evhttp_send_reply(request, reply.status, nullptr, nullptr);
 }
 
-standins::HttpReply Platform::State(std::string_view method,
-                                    const std::string& target,
-                                    const std::string& body) {
+fakes::HttpReply Platform::State(std::string_view method,
+                                 const std::string& target,
+                                 const std::string& body) {
   return state_.Handle(method, target, body, Now());
 }
 
-standins::HttpReply Platform::Cloud(std::string_view method,
-                                    const std::string& target,
-                                    const std::string& body) {
+fakes::HttpReply Platform::Cloud(std::string_view method,
+                                 const std::string& target,
+                                 const std::string& body) {
   return cloud_.Handle(method, target, body, Now());
 }
 
-void Platform::Boot(const standins::Cloud::Machine& machine) {
+void Platform::Boot(const fakes::Cloud::Machine& machine) {
   if (!cloud_.machines().contains(machine.name)) return;
   const auto& type = cloud_.config().types.front();
-  standins::Worker::Config config;
+  fakes::Worker::Config config;
   config.name = machine.name;
   config.type = machine.type;
   config.zone = machine.zone;
@@ -123,15 +123,15 @@
   config.cpus = type.cpus;
   config.memory_gb = type.memory_gb;
   auto lookup = [this](const std::string&) {
-    standins::TaskInfo info;
+    fakes::TaskInfo info;
     info.image = "image";
     info.fetch = Millis(200);
     info.run = task_run_;
     return std::optional(info);
   };
   auto box = std::make_unique<Box>();
-  box->worker = std::make_unique<standins::Worker>(
-      config, lookup, [](const std::string&, standins::Worker::TaskEvent) {},
+  box->worker = std::make_unique<fakes::Worker>(
+      config, lookup, [](const std::string&, fakes::Worker::TaskEvent) {},
       Now());
   for (const Controller& controller : controllers_) {
     box->nodes.push_back(std::make_unique<io::HttpClient>(
--- a/tests/playground/platform.h
+++ b/tests/playground/platform.h
@@ -1,4 +1,4 @@
-// The stand-ins behind real sockets on loopback: a platform for trying
+// The fakes behind real sockets on loopback: a platform for trying
 // pitchfall out by hand and for the test of the real program.
 #ifndef PITCHFALL_TESTS_PLAYGROUND_PLATFORM_H_
 #define PITCHFALL_TESTS_PLAYGROUND_PLATFORM_H_
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
+#include "fakes/cloud.h"
+#include "fakes/state_service.h"
+#include "fakes/worker.h"
 #include "io/event.h"
 #include "io/http_client.h"
-#include "standins/cloud.h"
-#include "standins/state_service.h"
-#include "standins/worker.h"
 
 namespace pitchfall::playground {
 
@@ -37,18 +37,18 @@
 
  private:
   struct Box;
-  using Handler = standins::HttpReply (Platform::*)(std::string_view,
-                                                    const std::string&,
-                                                    const std::string&);
+  using Handler = fakes::HttpReply (Platform::*)(std::string_view,
+                                                 const std::string&,
+                                                 const std::string&);
 
   uint16_t Serve(io::HttpServer& server, Handler handler);
   static void OnRequest(evhttp_request* request, void* arg);
   static void OnStep(evutil_socket_t, short, void* arg);
-  standins::HttpReply State(std::string_view method, const std::string& target,
-                            const std::string& body);
-  standins::HttpReply Cloud(std::string_view method, const std::string& target,
-                            const std::string& body);
-  void Boot(const standins::Cloud::Machine& machine);
+  fakes::HttpReply State(std::string_view method, const std::string& target,
+                         const std::string& body);
+  fakes::HttpReply Cloud(std::string_view method, const std::string& target,
+                         const std::string& body);
+  void Boot(const fakes::Cloud::Machine& machine);
   void Step();
   void Report(Box& box);
   SteadyTime Now() const;
@@ -61,14 +61,14 @@
   event_base* base_;
   std::vector<Controller> controllers_;
   Duration task_run_;
-  standins::StateService state_;
-  standins::Cloud cloud_;
+  fakes::StateService state_;
+  fakes::Cloud cloud_;
   std::vector<std::unique_ptr<Route>> routes_;
   io::HttpServer state_server_;
   io::HttpServer cloud_server_;
   uint16_t state_port_ = 0;
   uint16_t cloud_port_ = 0;
-  std::vector<std::pair<SteadyTime, standins::Cloud::Machine>> booting_;
+  std::vector<std::pair<SteadyTime, fakes::Cloud::Machine>> booting_;
   std::map<std::string, std::unique_ptr<Box>> machines_;
   std::vector<std::unique_ptr<Box>> gone_;
   io::Event step_;
--- a/tests/program_test.cc
+++ b/tests/program_test.cc
@@ -1,4 +1,4 @@
-// The real program, over loopback, against the stand-ins: three controllers
+// The real program, over loopback, against the fakes: three controllers
 // take a job from submission to done, and one of them is killed on the way.
 #include <gtest/gtest.h>
 #include <signal.h>
--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -73,7 +73,7 @@
 };
 
 struct World::Box {
-  std::unique_ptr<standins::Worker> worker;
+  std::unique_ptr<fakes::Worker> worker;
   std::string zone;
   bool spot = false;
   size_t node = 0;
@@ -85,7 +85,7 @@
 
 struct World::JobModel {
   JobSpec spec;
-  standins::TaskInfo info;
+  fakes::TaskInfo info;
   bool submitted = false;
   std::optional<SteadyTime> accepted;  // when its user was told
   bool asked_cancel = false;
@@ -105,11 +105,11 @@
     : config_(config),
       random_(config.seed),
       deployment_(MakeDeployment(config)),
-      state_(standins::StateService::Limits{config.txn_ops, config.value_kb,
-                                            10000}),
-      cloud_(standins::Cloud::Config{.capacity = config.capacity}) {
+      state_(
+          fakes::StateService::Limits{config.txn_ops, config.value_kb, 10000}),
+      cloud_(fakes::Cloud::Config{.capacity = config.capacity}) {
   state_.ignore_conditions = config_.state_ignores_conditions;
-  cloud_.on_rent = [this](const standins::Cloud::Machine& machine) {
+  cloud_.on_rent = [this](const fakes::Cloud::Machine& machine) {
     Duration boot = config_.quick_boots ? Millis(100) : Between(1, 4);
     if (!config_.quick_boots && Chance() < 0.05) return;  // never comes up
     After(boot, [this, machine] {
@@ -384,7 +384,7 @@
       After(Hop(), [answer] { answer(503, ""); });
       return;
     }
-    standins::HttpReply reply = execute();
+    fakes::HttpReply reply = execute();
     if (lost || now_ < nodes_[index]->state_cut_until) return;
     After(Hop(), [answer, reply] { answer(reply.status, reply.body); });
   });
@@ -406,7 +406,7 @@
     return;
   }
   After(Between(0.05, 0.3), [this, execute, answer] {
-    standins::HttpReply reply = execute();
+    fakes::HttpReply reply = execute();
     After(Hop(), [answer, reply] { answer(reply.status, reply.body); });
   });
 }
@@ -418,7 +418,7 @@
   wire::HttpRequest http = wire::EncodeWorker(call.request);
   size_t index = node.index;
   auto execute = [this, call, http,
-                  index]() -> std::optional<standins::HttpReply> {
+                  index]() -> std::optional<fakes::HttpReply> {
     for (auto& [name, box] : machines_) {
       if (box->worker->config().address != call.address) continue;
       if (CutOff(index, name)) return std::nullopt;
@@ -495,9 +495,9 @@
 
 // ---- Machines ----
 
-void World::AddMachine(const standins::Cloud::Machine& machine) {
+void World::AddMachine(const fakes::Cloud::Machine& machine) {
   auto box = std::make_unique<Box>();
-  standins::Worker::Config config;
+  fakes::Worker::Config config;
   config.name = machine.name;
   config.address = "addr-" + machine.name + ":1";
   config.type = machine.type;
@@ -510,18 +510,17 @@
   box->zone = machine.zone;
   box->spot = machine.spot;
   auto lookup =
-      [this](const std::string& task) -> std::optional<standins::TaskInfo> {
+      [this](const std::string& task) -> std::optional<fakes::TaskInfo> {
     auto job = jobs_.find(task.substr(0, task.rfind('/')));
     if (job == jobs_.end() || !job->second->submitted) return std::nullopt;
     return job->second->info;
   };
   std::string name = machine.name;
   auto observer = [this, name](const std::string& task,
-                               standins::Worker::TaskEvent event) {
+                               fakes::Worker::TaskEvent event) {
     OnTask(name, task, event);
   };
-  box->worker =
-      std::make_unique<standins::Worker>(config, lookup, observer, now_);
+  box->worker = std::make_unique<fakes::Worker>(config, lookup, observer, now_);
   box->node = Pick(config_.nodes);
   cloud_.SetStatus(name, "running", now_);
   machines_[name] = std::move(box);
@@ -599,22 +598,22 @@
 }
 
 void World::OnTask(const std::string& machine, const std::string& task,
-                   standins::Worker::TaskEvent event) {
+                   fakes::Worker::TaskEvent event) {
   size_t slash = task.rfind('/');
   JobModel& job = *jobs_.at(task.substr(0, slash));
-  if (event == standins::Worker::TaskEvent::kLaunched) {
+  if (event == fakes::Worker::TaskEvent::kLaunched) {
     if (job.cancelled && now_ > *job.cancelled + kStartOnItsWay) {
       Violation("started_cancelled", task + " launched on " + machine);
     }
     return;
   }
-  if (event == standins::Worker::TaskEvent::kLost) {
+  if (event == fakes::Worker::TaskEvent::kLost) {
     ++lost_with_lease_;
     return;
   }
   std::set<std::string>& where =
       task_on_.try_emplace(task, OnMachines{&job, {}}).first->second.machines;
-  if (event == standins::Worker::TaskEvent::kDone) {
+  if (event == fakes::Worker::TaskEvent::kDone) {
     job.finished.insert(
         static_cast<uint32_t>(std::stoul(task.substr(slash + 1))));
     if (job.finished.size() == job.spec.tasks && !job.asked_cancel &&
@@ -624,7 +623,7 @@
     }
     return;
   }
-  if (event == standins::Worker::TaskEvent::kOff) {
+  if (event == fakes::Worker::TaskEvent::kOff) {
     where.erase(machine);
     if (where.empty()) task_on_.erase(task);
     return;
@@ -1527,7 +1526,7 @@
     return false;
   }
   for (const auto& [name, box] : machines_) {
-    const standins::Worker& worker = *box->worker;
+    const fakes::Worker& worker = *box->worker;
     if (worker.config().sick || worker.hanging || deaf_.contains(name)) {
       continue;
     }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -1,5 +1,5 @@
 // A small simulated deployment: real controllers (without their sockets),
-// stand-ins for everything around them, and a plain model of what is true. The
+// fakes for everything around them, and a plain model of what is true. The
 // model watches every start and every answer, and knows the protocol's rules.
 //
 // Everything follows from the seed: one queue of events, no threads, no clocks.
@@ -18,9 +18,9 @@
 #include <vector>
 
 #include "core/controller.h"
-#include "standins/cloud.h"
-#include "standins/state_service.h"
-#include "standins/worker.h"
+#include "fakes/cloud.h"
+#include "fakes/state_service.h"
+#include "fakes/worker.h"
 
 namespace pitchfall::sim {
 
@@ -244,11 +244,11 @@
            const std::string& machine, const OnAnswer& on_answer);
 
   // Machines.
-  void AddMachine(const standins::Cloud::Machine& machine);
+  void AddMachine(const fakes::Cloud::Machine& machine);
   void StepMachine(const std::string& name);
   void Report(const std::string& name);
   void OnTask(const std::string& machine, const std::string& task,
-              standins::Worker::TaskEvent event);
+              fakes::Worker::TaskEvent event);
 
   // Users.
   void AddJob(int number);
@@ -314,8 +314,8 @@
   std::priority_queue<Event> events_;
 
   Deployment deployment_;
-  standins::StateService state_;
-  standins::Cloud cloud_;
+  fakes::StateService state_;
+  fakes::Cloud cloud_;
   SteadyTime next_cancel_check_{};
   size_t most_worker_calls_ = 0;
   uint64_t state_calls_ = 0;
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -31,6 +31,9 @@
     config.log_debug = count == 1;
     pitchfall::sim::World world(config);
     world.Run();
+    if (count == 1) {
+      for (const std::string& line : world.log()) std::puts(line.c_str());
+    }
     bool lost = world.finished() != world.accepted();
     if (world.violations().empty() && !lost) continue;
     ++bad;
@@ -39,8 +42,6 @@
         static_cast<unsigned long long>(seed),
         world.violations().empty() ? "-" : world.violations()[0].c_str(),
         world.finished(), world.accepted());
-    if (count > 1) continue;  // one by itself: its story too
-    for (const std::string& line : world.log()) std::puts(line.c_str());
   }
   std::printf("%d of %llu schedules with findings\n", bad,
               static_cast<unsigned long long>(count));
