--- a/tests/sim/world.cc
+++ b/tests/sim/world.cc
@@ -53,6 +53,23 @@
 
 std::string Label(size_t index) { return fmt::format("node-{}", index); }
 
+// Requests of users, for World::Ask.
+using MakeCommand = std::function<Command(RequestId)>;
+
+MakeCommand SubmissionOf(const JobSpec& spec) {
+  return [spec](RequestId request) -> Command {
+    return SubmitJob{request, spec};
+  };
+}
+
+MakeCommand PollOf(const std::string& id) {
+  return [id](RequestId request) -> Command { return PollJob{request, id}; };
+}
+
+MakeCommand CancelOf(const std::string& id) {
+  return [id](RequestId request) -> Command { return CancelJob{request, id}; };
+}
+
 std::string ZoneOf(size_t index) { return index % 2 == 0 ? "a" : "b"; }
 
 }  // namespace
@@ -755,10 +772,7 @@
 
 void World::TrySubmit(const std::string& id, SteadyTime since) {
   JobModel& job = *jobs_[id];
-  auto make = [spec = job.spec](RequestId request) -> Command {
-    return SubmitJob{request, spec};
-  };
-  Ask(Pick(config_.nodes), make, Seconds(5), "",
+  Ask(Pick(config_.nodes), SubmissionOf(job.spec), Seconds(5), "",
       [this, id, since, asked = now_](const std::optional<Reply>& reply) {
         JobModel& j = *jobs_[id];
         int status = reply ? reply->status : 0;
@@ -784,12 +798,7 @@
 }
 
 void World::TryPoll(const std::string& id) {
-  Ask(
-      Pick(config_.nodes),
-      [id](RequestId request) -> Command {
-        return PollJob{request, id};
-      },
-      Seconds(2), "",
+  Ask(Pick(config_.nodes), PollOf(id), Seconds(2), "",
       [this, id, asked = now_](const std::optional<Reply>& reply) {
         JobModel& job = *jobs_[id];
         int status = reply ? reply->status : 0;
@@ -812,12 +821,7 @@
 
 void World::TryCancel(const std::string& id) {
   jobs_[id]->asked_cancel = true;
-  Ask(
-      Pick(config_.nodes),
-      [id](RequestId request) -> Command {
-        return CancelJob{request, id};
-      },
-      Seconds(5), "",
+  Ask(Pick(config_.nodes), CancelOf(id), Seconds(5), "",
       [this, id, asked = now_](const std::optional<Reply>& reply) {
         JobModel& job = *jobs_[id];
         if (reply && reply->status == 200) {
@@ -1012,12 +1016,7 @@
 }
 
 void World::PollOnce(size_t index, const std::string& id) {
-  Ask(
-      index,
-      [id](RequestId request) -> Command {
-        return PollJob{request, id};
-      },
-      Seconds(2), "",
+  Ask(index, PollOf(id), Seconds(2), "",
       [this, id, asked = now_](const std::optional<Reply>& reply) {
         JobModel& job = *jobs_[id];
         int status = reply ? reply->status : 0;
@@ -1031,12 +1030,7 @@
 
 void World::SubmitOnce(size_t index, const std::string& id) {
   JobModel& job = *jobs_[id];
-  Ask(
-      index,
-      [spec = job.spec](RequestId request) -> Command {
-        return SubmitJob{request, spec};
-      },
-      Seconds(5), "",
+  Ask(index, SubmissionOf(job.spec), Seconds(5), "",
       [this, id, asked = now_](const std::optional<Reply>& reply) {
         int status = reply ? reply->status : 0;
         if (status == 200 || status == 201) {
@@ -1171,12 +1165,7 @@
 void World::AskAboutNobodysJob() {
   if (now_ >= storm_until_) return;
   std::string id = fmt::format("run-96{:04}", Pick(10000));
-  Ask(
-      Pick(config_.nodes),
-      [id](RequestId request) -> Command {
-        return PollJob{request, id};
-      },
-      Seconds(2), "",
+  Ask(Pick(config_.nodes), PollOf(id), Seconds(2), "",
       [this, id](const std::optional<Reply>& reply) {
         if (reply && reply->status == 200) Violation("invented", id);
       });
@@ -1608,12 +1597,7 @@
       spec.zone = "nowhere";
       break;
   }
-  Ask(
-      Pick(config_.nodes),
-      [spec](RequestId request) -> Command {
-        return SubmitJob{request, spec};
-      },
-      Seconds(5), "",
+  Ask(Pick(config_.nodes), SubmissionOf(spec), Seconds(5), "",
       [this, spec](const std::optional<Reply>& reply) {
         int status = reply ? reply->status : 0;
         if (status == 200 || status == 201) {
