--- a/review/stand_in/cases.cc
+++ b/review/stand_in/cases.cc
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <functional>
@@ -16,6 +17,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include "stand_in/platform.h"
 
@@ -63,6 +65,21 @@
   return best;
 }
 
+// The controller whose machines run the fewest tasks for their number: new jobs
+// go there first.
+size_t RoomiestController(const Platform& platform) {
+  std::map<size_t, int> free;
+  for (const auto& [name, machine] : platform.machines()) {
+    if (!machine->answered_by) continue;
+    free[*machine->answered_by] +=
+        16 - static_cast<int>(machine->running.size());
+  }
+  auto best = std::max_element(
+      free.begin(), free.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return best == free.end() ? 0 : best->first;
+}
+
 // A controller stands still for a minute. Others take over its machines. When
 // it goes on, it must not return machines that are in use through others.
 Result PausedController(Platform& platform) {
@@ -141,6 +158,121 @@
   return broken > 0 ? kBroken : kHeld;
 }
 
+// One wave of StartAfterCancellation.
+struct Wave {
+  static constexpr int kJobs = 12;
+  static constexpr double kSubmitAfter = 22;
+  static constexpr double kCutAfter = 22.5;
+  static constexpr double kCut = 6;
+  static constexpr double kLength = 32;
+  double begin = 0;
+  int number = 0;
+  size_t victim = 0;
+};
+
+// Plans a wave: work that ends shortly before the cut and so leaves machines
+// with free capacity, jobs that are submitted then, the cut, and the
+// cancellation of these jobs through a controller that is not cut.
+void PlanWave(Platform& platform, Wave& wave,
+              const std::function<void(const std::string& job)>& on_cancelled) {
+  for (int i = 0; i < 6; ++i) {
+    JobSpec job;
+    job.id = JobId(100 * wave.number + i);
+    job.team = fmt::format("cenilci-{:02}", i);
+    job.tasks = 6;
+    job.run_s = job.expected_s = 14;
+    platform.At(wave.begin + 0.3 * i, [&platform, job, i] {
+      platform.SubmitUntilAccepted(job, static_cast<size_t>(i) % 3);
+    });
+  }
+  for (int i = 0; i < Wave::kJobs; ++i) {
+    JobSpec job;
+    job.id = JobId(100 * wave.number + 50 + i);
+    job.job_class = "tocaocena";
+    job.team = fmt::format("cenilci-{:02}", (6 + i) % 16);
+    job.priority = "high";
+    job.tasks = 6;
+    job.cpus = 2;
+    job.memory_gb = 3.6;
+    job.checkpoint_s = job.save_s = 0;
+    job.run_s = job.expected_s = 30;
+    platform.At(wave.begin + Wave::kSubmitAfter + 0.02 * i,
+                [&platform, job, i] {
+                  platform.SubmitUntilAccepted(job, static_cast<size_t>(i) % 3);
+                });
+    platform.At(wave.begin + Wave::kCutAfter + 0.05 + 0.012 * i,
+                [&platform, &wave, job, on_cancelled] {
+                  if (!platform.accepted().contains(job.id)) return;
+                  platform.Cancel(
+                      job.id, (wave.victim + 1) % 3,
+                      [on_cancelled, job](int status, const std::string& text) {
+                        if (status == 200 && text == "withdrawn") {
+                          on_cancelled(job.id);
+                        }
+                      });
+                });
+  }
+  platform.At(wave.begin + Wave::kSubmitAfter - 0.1, [&platform, &wave] {
+    wave.victim = RoomiestController(platform);
+  });
+  platform.At(wave.begin + Wave::kCutAfter, [&platform, &wave] {
+    if (!Trouble()) return;
+    platform.Record(platform.label(wave.victim) +
+                    " is cut from the state service and the other controllers");
+    platform.state_modes[wave.victim] = StateMode::kRefuse;
+    platform.peers_cut[wave.victim] = true;
+  });
+  platform.At(wave.begin + Wave::kCutAfter + Wave::kCut, [&platform, &wave] {
+    if (!Trouble()) return;
+    platform.Record(platform.label(wave.victim) + " is no longer cut");
+    platform.state_modes[wave.victim] = StateMode::kServe;
+    platform.peers_cut[wave.victim] = false;
+  });
+}
+
+// One controller is cut from the state service and the other controllers, not
+// from its workers. At that moment users call off jobs that they have just
+// submitted, through another controller. Once they have been told that a job is
+// cancelled, none of its tasks may be started. Three such waves.
+Result StartAfterCancellation(Platform& platform) {
+  constexpr double kEnd = 108;
+  // A start is counted only if the worker sent the report that it answers at
+  // least this long after the user had the confirmation.
+  const Duration kTolerance = Millis(200);
+  std::map<std::string, SteadyTime> cancelled;  // when its user was told
+  int broken = 0;
+  double latest = 0;
+  platform.on_starts = [&](const Platform::Machine& machine, size_t controller,
+                           SteadyTime sent,
+                           const std::map<std::string, int>& starts) {
+    for (const auto& [job, count] : starts) {
+      auto told = cancelled.find(job);
+      if (told == cancelled.end() || sent - told->second < kTolerance) continue;
+      broken += count;
+      double late = ToSeconds(sent - told->second);
+      latest = std::max(latest, late);
+      platform.Record(fmt::format(
+          "BROKEN: {} starts {} tasks of {} on {}, in the answer to a report "
+          "sent {:.2f} s after the user was told that the job is cancelled",
+          platform.label(controller), count, job, machine.name, late));
+    }
+  };
+  std::vector<Wave> waves(3);
+  for (size_t i = 0; i < waves.size(); ++i) {
+    waves[i].number = static_cast<int>(i) + 1;
+    waves[i].begin = 5 + Wave::kLength * static_cast<double>(i);
+    PlanWave(platform, waves[i],
+             [&](const std::string& job) { cancelled[job] = platform.Now(); });
+  }
+  platform.Run(kEnd);
+  if (platform.AnyEnded() || cancelled.empty()) return kCannotRun;
+  platform.Record(
+      fmt::format("{} cancellations confirmed; {} tasks started after that, "
+                  "the last one {:.2f} s after it",
+                  cancelled.size(), broken, latest));
+  return broken > 0 ? kBroken : kHeld;
+}
+
 // Users submit jobs that lack a field.
 Result MissingField(Platform& platform) {
   int broken = 0;
@@ -167,44 +299,142 @@
   return broken > 0 ? kBroken : kHeld;
 }
 
-// Several jobs with many small tasks at once.
-Result SmallTasks(Platform& platform) {
-  int jobs = Trouble() ? 6 : 1;
-  for (int i = 0; i < jobs; ++i) {
+// Jobs of a class of many small tasks come three times as often for a while.
+Result ManySmallTasks(Platform& platform) {
+  constexpr size_t kLimit = 64 * 1024;  // of requests and answers, as JSON
+  constexpr double kBegin = 8;
+  constexpr double kEndOfJobs = 50;
+  constexpr double kEnd = 112;
+  const double interval = Trouble() ? 6 : 18;
+  int jobs = 0;
+  for (double at = kBegin; at < kEndOfJobs; at += interval) {
     JobSpec job;
-    job.id = JobId(i + 1);
-    job.tasks = 400;
-    job.cpus = 0.005;
-    job.memory_gb = 0.01;
-    job.checkpoint_s = 0;
-    job.save_s = 0;
-    job.run_s = 20;
-    job.expected_s = 20;
-    platform.At(8 + 0.1 * i,
-                [&platform, job] { platform.SubmitUntilAccepted(job, 0); });
+    job.id = JobId(++jobs);
+    job.job_class = "roj";
+    job.team = fmt::format("cenilci-{:02}", jobs % 16);
+    job.priority = "standard";
+    job.tasks = 250;
+    job.cpus = 0.05;
+    job.memory_gb = 0.1;
+    job.checkpoint_s = job.save_s = 0;
+    job.run_s = job.expected_s = 40;
+    platform.At(at, [&platform, job] { platform.SubmitUntilAccepted(job, 0); });
   }
-  int done = 0;
-  for (int t = 20; t < 100; t += 10) {
-    platform.At(t, [&, t] {
-      for (int i = 0; i < jobs; ++i) {
-        platform.Poll(JobId(i + 1), 1,
-                      [&, i, t](int status, const std::string& text) {
-                        platform.Record(
-                            fmt::format("poll {}: {} {}", i + 1, status, text));
-                        if (t == 90 && text == "done") ++done;
-                      });
-      }
+  int lost = 0;
+  platform.on_task = [&](const std::string&, const Platform::Machine&,
+                         fakes::Worker::TaskEvent event) {
+    if (event == fakes::Worker::TaskEvent::kLost) ++lost;
+  };
+  for (double at = 20; at < kEnd; at += 10) {
+    platform.At(at, [&] {
+      std::string statuses;
       for (const auto& [status, count] : platform.report_statuses) {
-        platform.Record(fmt::format("reports answered {}: {}", status, count));
+        statuses += fmt::format(" {}: {}", status, count);
       }
-      platform.Record(fmt::format("largest report {} answer {}",
-                                  platform.largest_report,
-                                  platform.largest_report_answer));
+      platform.Record(fmt::format(
+          "reports by status:{}; largest report {} bytes, largest answer {} "
+          "bytes, as JSON; {} running tasks lost with a lease",
+          statuses, platform.largest_report, platform.largest_report_answer,
+          lost));
     });
   }
-  platform.Run(105);
+  int done = 0;
+  platform.At(kEnd - 3, [&] {
+    for (int i = 1; i <= jobs; ++i) {
+      platform.Poll(JobId(i), 1, [&, i](int status, const std::string& text) {
+        platform.Record(fmt::format("poll {}: {} {}", JobId(i), status, text));
+        if (text == "done") ++done;
+      });
+    }
+  });
+  platform.Run(kEnd);
   if (platform.AnyEnded()) return kCannotRun;
-  return done < jobs ? kBroken : kHeld;
+  platform.Record(fmt::format("{} of {} jobs done", done, jobs));
+  bool too_large = platform.largest_report > kLimit ||
+                   platform.largest_report_answer > kLimit;
+  return too_large || lost > 0 ? kBroken : kHeld;
+}
+
+// Work on one machine is lost when the machine stops. Each task has to run
+// again elsewhere: no job may wait for 90 s while a machine that fits has room.
+Result WaitsBesideRoom(Platform& platform, JobSpec job) {
+  constexpr double kStopAt = 11;
+  constexpr double kEnd = 115.5;
+  constexpr double kLimit = 90;
+  platform.At(4, [&platform, job] { platform.SubmitUntilAccepted(job, 0); });
+  platform.At(kStopAt, [&] {
+    const Platform::Machine* most = nullptr;
+    for (const auto& [name, machine] : platform.machines()) {
+      if (!most || machine->running.size() > most->running.size()) {
+        most = machine.get();
+      }
+    }
+    if (most != nullptr && Trouble()) platform.StopMachine(most->name);
+  });
+  size_t most_running = 0;
+  double waits_since = kStopAt;
+  double longest = 0;
+  std::string shown;
+  // The job waits as long as tasks are missing, none begins, and a machine that
+  // reports and is answered has room for one more.
+  std::function<void()> check = [&] {
+    size_t running = 0;
+    std::string room;
+    std::string all;
+    for (const auto& [name, machine] : platform.machines()) {
+      if (!machine->worker || !machine->answered_by) continue;
+      size_t tasks = machine->running.size();
+      running += tasks;
+      all += fmt::format(" {}:{}", name, tasks);
+      bool fits = static_cast<double>(tasks + 1) * job.cpus <=
+                  platform.site().type_cpus;
+      if (fits) room += " " + name;
+    }
+    bool waits = platform.Elapsed() > kStopAt && running < job.tasks &&
+                 !room.empty() && running <= most_running;
+    if (!waits) waits_since = platform.Elapsed();
+    most_running = running;
+    longest = std::max(longest, platform.Elapsed() - waits_since);
+    if (all != shown) {
+      platform.Record(fmt::format("{} of {} tasks run:{}; room on:{}", running,
+                                  job.tasks, all, room));
+      shown = all;
+    }
+    platform.After(0.5, check);
+  };
+  platform.At(6, check);
+  platform.Run(kEnd);
+  if (platform.AnyEnded() || !platform.accepted().contains(job.id)) {
+    return kCannotRun;
+  }
+  platform.Record(fmt::format(
+      "{} of {} tasks run; for {:.1f} s none of the others began while a "
+      "machine had room",
+      most_running, job.tasks, longest));
+  return longest > kLimit ? kBroken : kHeld;
+}
+
+// A service.
+Result ReplicasWait(Platform& platform) {
+  JobSpec job;
+  job.id = JobId(1);
+  job.job_class = "prijava";
+  job.shape = "standing";
+  job.priority = "production";
+  job.tasks = 128;
+  job.cpus = 1;
+  job.memory_gb = 3.2;
+  job.checkpoint_s = job.save_s = job.expected_s = 0;
+  return WaitsBesideRoom(platform, job);
+}
+
+// A job array with long tasks.
+Result TasksWait(Platform& platform) {
+  JobSpec job;
+  job.id = JobId(1);
+  job.tasks = 32;
+  job.run_s = job.expected_s = 175;
+  return WaitsBesideRoom(platform, job);
 }
 
 int Run(const std::string& name, const std::string& program,
@@ -212,8 +442,11 @@
   const std::map<std::string, std::function<Result(Platform&)>> cases = {
       {"paused-controller", PausedController},
       {"refused-controller", RefusedController},
+      {"start-after-cancellation", StartAfterCancellation},
       {"missing-field", MissingField},
-      {"small-tasks", SmallTasks},
+      {"many-small-tasks", ManySmallTasks},
+      {"replicas-wait", ReplicasWait},
+      {"tasks-wait", TasksWait},
   };
   auto found = cases.find(name);
   if (found == cases.end()) {
@@ -223,7 +456,19 @@
   // Ends a case that hangs; the script then ends the controllers.
   constexpr unsigned kLimitSeconds = 117;
   alarm(kLimitSeconds);
-  Platform platform(Site{}, program, record);
+  Site site;
+  if (name == "many-small-tasks") {
+    // The machine type that the protocol page shows.
+    site.type = "g8";
+    site.type_cpus = 96;
+    site.type_memory_gb = 768;
+  }
+  if (name == "replicas-wait" || name == "tasks-wait") {
+    site.team_cpus = 250;
+    site.team_cpus_max = 600;
+    site.up_at_start = 8;
+  }
+  Platform platform(site, program, record);
   for (size_t i = 0; i < 3; ++i) platform.Start(i);
   Result result = found->second(platform);
   platform.Record(fmt::format("result {}", static_cast<int>(result)));
--- a/review/stand_in/platform.cc
+++ b/review/stand_in/platform.cc
@@ -79,6 +79,20 @@
   }
 }
 
+// The number of start commands in an answer to a report, by job.
+std::map<std::string, int> StartsIn(const std::string& body) {
+  std::map<std::string, int> starts;
+  wire::Message message(body, kMaxItems, kMaxDepth);
+  const auto& orders = wire::Fields(message.root()).List("orders");
+  for (uint32_t i = 0; i < orders.size; ++i) {
+    wire::Fields order(orders.ptr[i]);
+    if (order.Text("verb") != "launch") continue;
+    std::string task = order.Text("leg");
+    ++starts[task.substr(0, task.find('/'))];
+  }
+  return starts;
+}
+
 size_t JsonSizeOf(const std::string& body) {
   try {
     return JsonSize(msgpack::unpack(body.data(), body.size()).get());
@@ -306,6 +320,7 @@
   SteadyTime now = Now();
   state_.Expire(now);
   for (auto& [name, machine] : machines_) {
+    if (machine->dead) continue;
     if (!machine->worker) {
       if (now >= machine->up_at) Boot(*machine);
       continue;
@@ -455,6 +470,26 @@
   return fakes::Error(404, "no such path");
 }
 
+void Platform::StopMachine(const std::string& name) {
+  auto found = machines_.find(name);
+  if (found == machines_.end()) return;
+  Machine& machine = *found->second;
+  Record(fmt::format("machine {} stops with {} tasks", name,
+                     machine.running.size()));
+  machine.dead = true;
+  machine.server.reset();
+  if (machine.client) old_clients_.push_back(std::move(machine.client));
+  machine.worker.reset();
+  machine.running.clear();
+  constexpr double kListedAsRunning = 30;
+  After(kListedAsRunning, [this, name] {
+    auto still = machines_.find(name);
+    if (still == machines_.end()) return;
+    still->second->status = "failed";
+    Snapshot();
+  });
+}
+
 fakes::HttpReply Platform::Types() {
   wire::Packer out;
   out.Map(1).Key("rigs").List(1);
@@ -606,6 +641,8 @@
     info.run = Seconds(spec.run_s);
     info.save = Seconds(spec.save_s);
     info.saves = spec.checkpoint_s > 0;
+    info.endless = spec.shape == "standing";
+    if (info.endless) info.run = Seconds(1e6);
     return info;
   };
   Machine* self = &machine;
@@ -659,6 +696,7 @@
   auto found = machines_.find(name);
   if (found == machines_.end()) return;
   Machine& machine = *found->second;
+  if (machine.dead) return;
   SteadyTime now = Now();
   machine.waiting = false;
   ++report_statuses[status];
@@ -667,6 +705,7 @@
     if (machine.worker->HandleAnswer(body, sent, epoch, now)) {
       machine.answered_by = machine.node;
       machine.answered_at = now;
+      if (on_starts) on_starts(machine, machine.node, sent, StartsIn(body));
     }
     return;
   }
--- a/review/stand_in/platform.h
+++ b/review/stand_in/platform.h
@@ -40,7 +40,7 @@
   double cpus = 4;
   double memory_gb = 12;
   double expected_s = 50;
-  double checkpoint_s = 20;
+  double checkpoint_s = 20;  // a standing job has none
   double save_s = 5;
   double run_s = 50;  // how long a task really runs
   // Fields of the submission to leave out, to send a malformed one.
@@ -115,6 +115,10 @@
   std::vector<StateMode> state_modes;  // by controller
   std::vector<bool> peers_cut;         // its messages to and from the others
 
+  // Stops the machine with all that is on it. The cloud lists it as running for
+  // 30 s more, then as failed.
+  void StopMachine(const std::string& name);
+
   // Observations.
   struct Machine {
     std::string name;
@@ -124,7 +128,8 @@
     std::string status = "starting";
     SteadyTime created{};
     SteadyTime up_at{};
-    std::set<std::string> running;          // tasks that are on the machine
+    bool dead = false;              // it has stopped with all that is on it
+    std::set<std::string> running;  // tasks that are on the machine
     std::unique_ptr<fakes::Worker> worker;  // null until it is up
     io::EvhttpHandle server;
     // Reporting.
@@ -146,6 +151,11 @@
   std::function<void(const std::string& task, const Machine& machine,
                      fakes::Worker::TaskEvent event)>
       on_task;
+  // Called when a worker takes the answer to a report, with the number of start
+  // commands in it for each job; `sent` is when the worker sent the report.
+  std::function<void(const Machine& machine, size_t controller, SteadyTime sent,
+                     const std::map<std::string, int>& starts)>
+      on_starts;
   // Called for each transaction that the state service has stored.
   std::function<void(size_t controller, const std::string& body)> on_stored;
   const std::set<std::string>& accepted() const { return accepted_; }
