--- a/review/stand_in/cases.cc
+++ b/review/stand_in/cases.cc
@@ -14,6 +14,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -437,6 +438,90 @@
   return WaitsBesideRoom(platform, job);
 }
 
+// The cloud's interface is down. A machine restarts, and later a copy of its
+// last report from before arrives. No task may start on one machine while it is
+// on another.
+Result RestartedMachine(Platform& platform) {
+  constexpr double kRestartAt = 50;
+  constexpr double kEnd = 112;
+  std::map<std::string, std::set<std::string>> on;  // machines by task
+  int broken = 0;
+  platform.on_task = [&](const std::string& task,
+                         const Platform::Machine& machine,
+                         fakes::Worker::TaskEvent event) {
+    using Event = fakes::Worker::TaskEvent;
+    if (event == Event::kRunning) {
+      for (const std::string& other : on[task]) {
+        ++broken;
+        platform.Record(fmt::format("BROKEN: {} starts on {} while it is on {}",
+                                    task, machine.name, other));
+      }
+      on[task].insert(machine.name);
+    }
+    if (event == Event::kEnded) on[task].erase(machine.name);
+  };
+  for (int i = 0; i < 40; ++i) {
+    JobSpec job;
+    job.id = JobId(i + 1);
+    job.team = fmt::format("cenilci-{:02}", i % 16);
+    job.tasks = 24;
+    job.cpus = 2;
+    job.memory_gb = 4;
+    job.checkpoint_s = job.save_s = 0;
+    job.run_s = job.expected_s = 18;
+    platform.At(4 + 0.5 * i, [&platform, job, i] {
+      platform.SubmitUntilAccepted(job, static_cast<size_t>(i) % 3);
+    });
+  }
+  std::string name;
+  std::string copy;
+  size_t owner = 0;
+  platform.At(kRestartAt - 1, [&] {
+    // The machine of a partition that has others.
+    std::map<size_t, int> machines_of;
+    for (const auto& [key, machine] : platform.machines()) {
+      if (machine->answered_by) ++machines_of[*machine->answered_by];
+    }
+    for (const auto& [key, machine] : platform.machines()) {
+      if (!machine->answered_by || machines_of[*machine->answered_by] < 2) {
+        continue;
+      }
+      name = key;
+      owner = *machine->answered_by;
+    }
+    if (Trouble()) platform.cloud_down = true;
+  });
+  platform.At(kRestartAt, [&] {
+    auto found = platform.machines().find(name);
+    if (found == platform.machines().end() || !Trouble()) return;
+    copy = found->second->last_report_body;
+    platform.RestartMachine(name);
+  });
+  // The copy arrives once the restarted worker has run tasks for a while.
+  double since = 0;
+  bool delivered = false;
+  std::function<void()> check = [&] {
+    platform.After(0.25, check);
+    if (copy.empty() || delivered) return;
+    auto found = platform.machines().find(name);
+    if (found == platform.machines().end() || found->second->running.empty()) {
+      return;
+    }
+    if (since == 0) since = platform.Elapsed();
+    if (platform.Elapsed() - since < 2) return;
+    delivered = true;
+    platform.Record(
+        fmt::format("{} runs {} tasks", name, found->second->running.size()));
+    platform.DeliverCopy(copy, owner);
+  };
+  platform.At(kRestartAt + 1, check);
+  platform.Run(kEnd);
+  platform.on_task = nullptr;
+  if (platform.AnyEnded() || name.empty()) return kCannotRun;
+  platform.Record(fmt::format("{} tasks ran twice at a time", broken));
+  return broken > 0 ? kBroken : kHeld;
+}
+
 int Run(const std::string& name, const std::string& program,
         const std::string& record) {
   const std::map<std::string, std::function<Result(Platform&)>> cases = {
@@ -447,6 +532,7 @@
       {"many-small-tasks", ManySmallTasks},
       {"replicas-wait", ReplicasWait},
       {"tasks-wait", TasksWait},
+      {"restarted-machine", RestartedMachine},
   };
   auto found = cases.find(name);
   if (found == cases.end()) {
@@ -468,6 +554,7 @@
     site.team_cpus_max = 600;
     site.up_at_start = 8;
   }
+  if (name == "restarted-machine") site.capacity = site.spot = 4;
   Platform platform(site, program, record);
   for (size_t i = 0; i < 3; ++i) platform.Start(i);
   Result result = found->second(platform);
--- a/review/stand_in/platform.cc
+++ b/review/stand_in/platform.cc
@@ -31,18 +31,27 @@
 constexpr size_t kMaxItems = 100000;
 constexpr size_t kMaxDepth = 16;
 
+// Returns a port that nobody listens on, below the range from which the system
+// takes the ports of outgoing connections.
 uint16_t FreePort() {
-  int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  bool ok = fd >= 0 &&
-            bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
-            getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0;
-  if (fd >= 0) close(fd);
-  if (!ok) throw std::runtime_error("no free port on loopback");
-  return ntohs(address.sin_port);
+  constexpr int kFirst = 10000;
+  constexpr int kLast = 32000;
+  constexpr int kTries = 200;
+  static std::mt19937 random{std::random_device{}()};
+  std::uniform_int_distribution<int> any(kFirst, kLast);
+  for (int i = 0; i < kTries; ++i) {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (fd < 0) break;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(any(random)));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bool ok =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (ok) return ntohs(address.sin_port);
+  }
+  throw std::runtime_error("no free port on loopback");
 }
 
 std::string Loopback(uint16_t port) {
@@ -456,6 +465,7 @@
                                        std::string_view method,
                                        const std::string& target,
                                        const std::string& body) {
+  if (cloud_down) return fakes::Error(503, "trouble");
   std::string path = target.substr(0, target.find('?'));
   try {
     if (method == "GET" && path == "/flavors") return Types();
@@ -490,6 +500,28 @@
   });
 }
 
+void Platform::RestartMachine(const std::string& name) {
+  auto found = machines_.find(name);
+  if (found == machines_.end()) return;
+  Machine& machine = *found->second;
+  Record(fmt::format("machine {} restarts with {} tasks", name,
+                     machine.running.size()));
+  if (machine.client) old_clients_.push_back(std::move(machine.client));
+  machine.worker.reset();
+  machine.running.clear();
+  machine.waiting = false;
+  machine.up_at = Now() + Millis(300);
+}
+
+void Platform::DeliverCopy(const std::string& report, size_t controller) {
+  Record(fmt::format("a copy of an old report arrives at {}",
+                     controllers_[controller].label));
+  Call(controller, {true, "/checkin", report}, 4,
+       [this](int status, const std::string&) {
+         Record(fmt::format("the copy is answered {}", status));
+       });
+}
+
 fakes::HttpReply Platform::Types() {
   wire::Packer out;
   out.Map(1).Key("rigs").List(1);
@@ -681,6 +713,7 @@
   request.post = true;
   request.path = "/checkin";
   request.body = machine.worker->MakeHeartbeat(sent);
+  machine.last_report_body = request.body;
   largest_report = std::max(largest_report, JsonSizeOf(request.body));
   machine.client->Send(std::move(request), kReportTimeout,
                        [this, name = machine.name, sent, epoch](
--- a/review/stand_in/platform.h
+++ b/review/stand_in/platform.h
@@ -119,6 +119,13 @@
   // 30 s more, then as failed.
   void StopMachine(const std::string& name);
 
+  // The machine is back within a fraction of a second, without its tasks; its
+  // worker begins anew with the first session.
+  void RestartMachine(const std::string& name);
+  // Delivers a copy of a report to a controller; the answer is lost.
+  void DeliverCopy(const std::string& report, size_t controller);
+  bool cloud_down = false;  // every request to the cloud gets 503
+
   // Observations.
   struct Machine {
     std::string name;
@@ -138,6 +145,7 @@
     bool waiting = false;
     SteadyTime next_report{};
     SteadyTime last_report{};
+    std::string last_report_body;
     // The last report that was answered with 200 and taken by the worker.
     std::optional<size_t> answered_by;
     SteadyTime answered_at{};
