--- a/review/stand_in/cases.cc
+++ b/review/stand_in/cases.cc
@@ -13,7 +13,9 @@
 #include <cstring>
 #include <functional>
 #include <iostream>
+#include <iterator>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <tuple>
@@ -522,6 +524,263 @@
   return broken > 0 ? kBroken : kHeld;
 }
 
+// Random disruptions, and checks of the rules that users, workers and the cloud
+// can see. Not a case: a search. SEED in the environment selects the run.
+class RandomRun {
+ public:
+  explicit RandomRun(Platform& platform)
+      : platform_(platform),
+        random_(static_cast<unsigned>(
+            std::atoi(std::getenv("SEED") ? std::getenv("SEED") : "1"))) {}
+
+  Result Run() {
+    platform_.on_task = [this](const std::string& task,
+                               const Platform::Machine& machine,
+                               fakes::Worker::TaskEvent event) {
+      OnTask(task, machine, event);
+    };
+    for (int i = 0; i < 60; ++i) {
+      platform_.At(4 + i, [this, i] { SubmitNext(i + 1); });
+    }
+    platform_.At(10, [this] { Disrupt(); });
+    platform_.At(5, [this] { CheckCancelled(); });
+    platform_.Run(112);
+    platform_.on_task = nullptr;
+    platform_.Record(fmt::format("{} rules broken", broken_));
+    return platform_.AnyEnded() ? kCannotRun : broken_ > 0 ? kBroken : kHeld;
+  }
+
+ private:
+  struct Told {
+    std::string status;
+    SteadyTime at{};
+  };
+  struct Known {
+    std::set<std::string> on;     // machines of tasks, as task@machine
+    std::set<std::string> ended;  // tasks that have completed
+    uint32_t tasks = 0;
+    Told told;  // the last final answer
+    SteadyTime accepted_at{};
+    bool accepted = false;
+    bool asked_cancel = false;
+  };
+
+  int Below(int n) {
+    return std::uniform_int_distribution<int>(0, n - 1)(random_);
+  }
+  double Between(double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random_);
+  }
+  void Broken(const std::string& what) {
+    ++broken_;
+    platform_.Record("BROKEN: " + what);
+  }
+
+  void OnTask(const std::string& task, const Platform::Machine& machine,
+              fakes::Worker::TaskEvent event) {
+    using Event = fakes::Worker::TaskEvent;
+    Known& job = jobs_[task.substr(0, task.find('/'))];
+    if (event == Event::kRunning) {
+      for (const auto& [name, other] : platform_.machines()) {
+        if (name != machine.name && other->running.contains(task)) {
+          Broken(fmt::format("ran_twice: {} on {} and {}", task, machine.name,
+                             name));
+        }
+      }
+      double used = 0;
+      for (const auto& [name, other] : platform_.machines()) {
+        used += 2.0 * static_cast<double>(std::ranges::count_if(
+                          other->running, [&](const std::string& running) {
+                            return TeamOf(running) == TeamOf(task);
+                          }));
+      }
+      if (used > platform_.site().team_cpus_max) {
+        Broken(fmt::format("quota: team {} uses {}", TeamOf(task), used));
+      }
+    }
+    if (event == Event::kCompleted) job.ended.insert(task);
+  }
+
+  static int TeamOf(const std::string& task) {
+    return std::atoi(task.substr(4, 6).c_str()) % 3;
+  }
+
+  void SubmitNext(int number) {
+    JobSpec job;
+    job.id = JobId(number);
+    job.team = fmt::format("cenilci-{:02}", number % 3);
+    job.tasks = static_cast<uint32_t>(1 + Below(12));
+    job.cpus = 2;
+    job.memory_gb = 4;
+    job.run_s = job.expected_s = Between(3, 25);
+    job.checkpoint_s = Below(2) * 5;
+    job.save_s = 2;
+    jobs_[job.id].tasks = job.tasks;
+    TrySubmit(job);
+    if (Below(3) == 0) {
+      platform_.After(Between(0.5, 15), [this, id = job.id] { TryCancel(id); });
+    }
+    platform_.After(2, [this, id = job.id] { TryPoll(id); });
+  }
+
+  void TrySubmit(const JobSpec& job) {
+    platform_.Submit(
+        job, static_cast<size_t>(Below(3)),
+        [this, job](int status, const std::string&) {
+          Known& known = jobs_[job.id];
+          if (status == 200 || status == 201) {
+            known.accepted = true;
+            known.accepted_at = platform_.Now();
+            return;
+          }
+          if (status == 400 || status == 422) {
+            Broken(fmt::format("forgotten: {} gets {}", job.id, status));
+          }
+          platform_.After(Between(1, 2), [this, job] { TrySubmit(job); });
+        });
+  }
+
+  void TryCancel(const std::string& id) {
+    if (!jobs_[id].accepted) return;
+    jobs_[id].asked_cancel = true;
+    platform_.Cancel(id, static_cast<size_t>(Below(3)),
+                     [this, id](int status, const std::string& text) {
+                       if (status == 200) {
+                         Heard(id, text, platform_.Now());
+                       } else {
+                         platform_.After(1.2, [this, id] { TryCancel(id); });
+                       }
+                     });
+  }
+
+  void TryPoll(const std::string& id) {
+    SteadyTime sent = platform_.Now();
+    Known& known = jobs_[id];
+    bool was_accepted = known.accepted;
+    std::string final_before = known.told.status;
+    platform_.Poll(id, static_cast<size_t>(Below(3)),
+                   [this, id, sent, was_accepted, final_before](
+                       int status, const std::string& text) {
+                     if (status == 404 && was_accepted) {
+                       Broken("forgotten: " + id + " gets 404");
+                     }
+                     if (status == 200) {
+                       if (!final_before.empty() && text != final_before) {
+                         Broken(fmt::format("went_back: {} was {}, is {}", id,
+                                            final_before, text));
+                       }
+                       Heard(id, text, sent);
+                     }
+                   });
+    platform_.After(Between(0.5, 4), [this, id] { TryPoll(id); });
+  }
+
+  void Heard(const std::string& id, const std::string& text, SteadyTime at) {
+    Known& job = jobs_[id];
+    if (text != "done" && text != "withdrawn") return;
+    if (job.told.status.empty()) job.told = {text, at};
+    if (text == "done" && job.ended.size() < job.tasks) {
+      Broken(fmt::format("not_done: {} has {} of {}", id, job.ended.size(),
+                         job.tasks));
+    }
+    if (text == "withdrawn" && !job.asked_cancel) {
+      Broken("went_back: nobody cancelled " + id);
+    }
+  }
+
+  void CheckCancelled() {
+    Duration limit = Seconds(platform_.site().cancel_s);
+    for (const auto& [name, machine] : platform_.machines()) {
+      for (const std::string& task : machine->running) {
+        const Known& job = jobs_[task.substr(0, task.find('/'))];
+        if (job.told.status == "withdrawn" &&
+            platform_.Now() - job.told.at > limit) {
+          Broken(fmt::format("ran_cancelled: {} on {}", task, name));
+        }
+      }
+    }
+    platform_.After(0.5, [this] { CheckCancelled(); });
+  }
+
+  void Disrupt() {
+    size_t node = static_cast<size_t>(Below(3));
+    double length = Between(0.5, 25);
+    auto end = [&](std::function<void()> work) {
+      platform_.After(length, std::move(work));
+    };
+    if (stopped_.contains(node)) node = (node + 1) % 3;
+    switch (stopped_.contains(node) ? 4 : Below(8)) {
+      case 0:
+        stopped_.insert(node);
+        platform_.Signal(node, SIGSTOP);
+        end([this, node] {
+          platform_.Signal(node, SIGCONT);
+          stopped_.erase(node);
+        });
+        break;
+      case 1:
+        stopped_.insert(node);
+        platform_.Signal(node, SIGKILL);
+        platform_.After(Below(2) == 0 ? 0.2 : 5, [this, node] {
+          platform_.Start(node);
+          stopped_.erase(node);
+        });
+        break;
+      case 2:
+        platform_.Record("state refuses " + platform_.label(node));
+        platform_.state_modes[node] = StateMode::kRefuse;
+        end([this, node] {
+          platform_.state_modes[node] = StateMode::kServe;
+          platform_.Record("state serves " + platform_.label(node));
+        });
+        break;
+      case 3:
+        platform_.Record("peers of " + platform_.label(node) + " are cut");
+        platform_.peers_cut[node] = true;
+        end([this, node] { platform_.peers_cut[node] = false; });
+        break;
+      case 5:
+        platform_.Record("state refuses all");
+        for (StateMode& mode : platform_.state_modes) mode = StateMode::kRefuse;
+        end([this] {
+          for (StateMode& mode : platform_.state_modes) {
+            mode = StateMode::kServe;
+          }
+          platform_.Record("state serves all");
+        });
+        break;
+      case 6:
+        platform_.Record("state refuses and peers are cut: " +
+                         platform_.label(node));
+        platform_.state_modes[node] = StateMode::kRefuse;
+        platform_.peers_cut[node] = true;
+        end([this, node] {
+          platform_.state_modes[node] = StateMode::kServe;
+          platform_.peers_cut[node] = false;
+        });
+        break;
+      default: {
+        if (platform_.machines().empty()) break;
+        auto machine = platform_.machines().begin();
+        std::advance(machine,
+                     Below(static_cast<int>(platform_.machines().size())));
+        platform_.StopMachine(machine->first);
+      }
+    }
+    platform_.After(Between(1, 12), [this] { Disrupt(); });
+  }
+
+  Platform& platform_;
+  std::mt19937 random_;
+  std::map<std::string, Known> jobs_;
+  std::set<size_t> stopped_;
+  int broken_ = 0;
+};
+
+Result RandomDisruptions(Platform& platform) {
+  return RandomRun(platform).Run();
+}
+
 int Run(const std::string& name, const std::string& program,
         const std::string& record) {
   const std::map<std::string, std::function<Result(Platform&)>> cases = {
@@ -533,6 +792,7 @@
       {"replicas-wait", ReplicasWait},
       {"tasks-wait", TasksWait},
       {"restarted-machine", RestartedMachine},
+      {"random", RandomDisruptions},
   };
   auto found = cases.find(name);
   if (found == cases.end()) {
