--- a/review/stand_in/platform.h
+++ b/review/stand_in/platform.h
@@ -42,7 +42,9 @@
   double expected_s = 50;
   double checkpoint_s = 20;  // a standing job has none
   double save_s = 5;
-  double run_s = 50;  // how long a task really runs
+  double run_s = 50;    // how long a task really runs
+  bool broken = false;  // submitted with a mistake: fails on every machine
+  bool spot = true;     // may use cheap machines
   // Fields of the submission to leave out, to send a malformed one.
   std::set<std::string> omitted;
 };
