Review case 4: a task runs twice after a machine restarts

While the cloud is down a machine restarts and begins anew in session 1. Its owner forgets it, and the number of its newest report, as soon as the lease has ended, though the deletion was not confirmed. Taken as new, the machine gets tasks; then a late copy of a report from before the restart counts as its newest, the tasks count as gone, and one starts elsewhere.

--- a/review/stand_in_2/cases.cc
+++ b/review/stand_in_2/cases.cc
@@ -7,9 +7,11 @@
 #include <cstdlib>
 #include <cstring>
 #include <exception>
+#include <set>
 #include <string>
 
 #include "cluster.h"
+#include "wire/pack.h"
 
 namespace review {
 namespace {
@@ -61,8 +63,9 @@
   return settings;
 }
 
-// Case 5. A controller stands still, is replaced and goes on. Broken: it then
-// deletes a machine that is answered by the controller that replaced it.
+// Not a case: review/1 shows it. A controller stands still, is replaced and
+// goes on. Broken: it then deletes a machine that is answered by the controller
+// that replaced it.
 int StaleHolder(const std::string& folder) {
   constexpr double kStandstill = 32;
   // A machine counts as served by the new owner if its worker has taken an
@@ -170,6 +173,173 @@
   return late > 0 ? kBroken : kHeld;
 }
 
+// The number of tasks on the machine that a report lists.
+size_t TasksOnIt(const std::string& report) {
+  pitchfall::wire::Message message(report, 10000, 16);
+  const auto& legs = pitchfall::wire::Fields(message.root()).List("legs");
+  size_t count = 0;
+  for (uint32_t i = 0; i < legs.size; ++i) {
+    if (pitchfall::wire::Fields(legs.ptr[i]).Text("status") != "exited") {
+      ++count;
+    }
+  }
+  return count;
+}
+
+// Case 4. The cloud's interface is down, a machine is back a moment after it
+// stopped, and a late copy of an earlier report of it arrives. Broken: a task
+// starts on one machine while it is on another.
+int RanTwice(const std::string& folder) {
+  Settings settings;  // those of the site polje-claims
+  settings.machines_at_start = 9;
+  settings.capacity = 9;
+  settings.spot_capacity = 0;
+  Cluster cluster(settings, folder);
+  if (!Begin(cluster)) return kCouldNotRun;
+  // One task of 9 CPUs on each machine, and one of 7 beside it on all but
+  // three.
+  JobOrder job;
+  job.legs = 1;
+  job.mem_gb = 20;
+  job.run_s = 300;
+  for (int i = 0; i < 14; ++i) {
+    job.uid = fmt::format("run-{:06}", i);
+    job.kit = "img-" + job.uid;
+    job.vcpus = i < 9 ? 12 : 4;
+    if (cluster.SubmitNow(i % 3, job).status != 201) return kCouldNotRun;
+    if (i != 8) continue;
+    if (!cluster.RunUntil([&] { return cluster.TasksRunning() == 9; }, 15)) {
+      return kCouldNotRun;
+    }
+  }
+  if (!cluster.RunUntil([&] { return cluster.TasksRunning() == 14; }, 15)) {
+    return kCouldNotRun;
+  }
+  // The machine has sent more reports before its restart than after it.
+  cluster.RunFor(42);
+  // A machine that runs two tasks and reports next in a moment.
+  const Cluster::Machine* machine = nullptr;
+  auto due = [&] {
+    for (const auto& [name, candidate] : cluster.machines()) {
+      if (candidate->on_it.size() != 2 || candidate->waiting) continue;
+      if (TasksOnIt(candidate->last_report) != 2) continue;
+      double since = cluster.Seconds() - candidate->answered_at;
+      if (since < 1.6) continue;
+      machine = candidate.get();
+      return true;
+    }
+    return false;
+  };
+  if (!cluster.RunUntil(due, 15)) return kCouldNotRun;
+  std::string kit;
+  for (const std::string& leg : machine->on_it) {
+    std::string uid = leg.substr(0, leg.find('/'));
+    if (uid < "run-000009") kit = "img-" + uid;
+  }
+  const std::string name = machine->name;
+  const std::string old_report = machine->last_report;
+  int owner = machine->answered_by;
+  cluster.Record(fmt::format("machine {} runs {} tasks, owner {}", name,
+                             machine->on_it.size(), cluster.Label(owner)));
+  double restarted = cluster.Seconds();
+  if (Trouble()) {
+    for (int i = 0; i < settings.controllers; ++i) {
+      cluster.SetCloudLink(i, Link::kRefused);
+    }
+    cluster.Record("the cloud's interface is down");
+    cluster.RestartMachine(name, 0.5);
+  }
+  bool back = cluster.RunUntil(
+      [&] {
+        const auto& found = cluster.machines().at(name);
+        return found->answered_at > restarted + 5;
+      },
+      25);
+  if (!back) return kCouldNotRun;
+  for (int i = 0; i < settings.controllers; ++i) {
+    cluster.SetCloudLink(i, Link::kOpen);
+  }
+  cluster.Record("the cloud's interface is up");
+  cluster.RunFor(2);
+  // The machine runs two tasks again: its own, or one of these.
+  auto full = [&] {
+    auto found = cluster.machines().find(name);
+    return found != cluster.machines().end() &&
+           found->second->on_it.size() == 2;
+  };
+  for (int i = 0; i < 3 && !full(); ++i) {
+    JobOrder more = job;
+    more.uid = fmt::format("run-{:06}", 100 + i);
+    more.kit = kit;
+    if (cluster.SubmitNow(i % 3, more).status != 201) return kCouldNotRun;
+    cluster.RunUntil(full, 2.5);
+  }
+  cluster.Record(fmt::format("the machine runs two tasks: {}", full()));
+  cluster.RunFor(1.2);
+  if (Trouble()) cluster.DeliverCopy(owner, old_report);
+  cluster.RunFor(12);
+  cluster.Record(
+      fmt::format("tasks that ran twice: {}", cluster.broken().size()));
+  return cluster.broken().empty() ? kHeld : kBroken;
+}
+
+// Not a case; see REPORT-2.md. A team's job fits into its guarantee while
+// another team's services use all machines, far more than that team's
+// guarantee, and the cloud has no more. Broken: no task of the job is started.
+int Guarantee(const std::string& folder) {
+  Settings settings;  // those of the site polje-claims-next
+  settings.machines_at_start = 3;
+  settings.team = "cenilci-00";
+  settings.other_teams = {"cenilci-01"};
+  settings.team_cpus = 16;
+  settings.team_cpus_max = 48;
+  if (Trouble()) {
+    settings.capacity = 3;
+    settings.spot_capacity = 0;
+  }
+  Cluster cluster(settings, folder);
+  if (!Begin(cluster)) return kCouldNotRun;
+  constexpr int kServices = 8;
+  constexpr uint32_t kReplicas = 6;
+  for (int i = 1; i <= kServices; ++i) {
+    JobOrder service;
+    service.uid = fmt::format("run-{:06}", i);
+    service.lane = "prijava";
+    service.shape = "standing";
+    service.urgency = "production";
+    service.legs = kReplicas;
+    service.vcpus = 1;
+    service.mem_gb = 3.2;
+    service.loaners = false;
+    if (cluster.SubmitNow(i % 3, service).status != 201) return kCouldNotRun;
+  }
+  if (!cluster.RunUntil(
+          [&] { return cluster.TasksRunning() == kServices * kReplicas; },
+          25)) {
+    return kCouldNotRun;
+  }
+  cluster.Record("cenilci-00 uses 48 CPUs, 16 are guaranteed");
+  JobOrder job;
+  job.uid = "run-000100";
+  job.lane = "tocaocena";
+  job.urgency = "high";
+  job.crew = "cenilci-01";
+  job.legs = 6;
+  job.vcpus = 2;
+  job.run_s = 30;
+  if (cluster.SubmitNow(1, job).status != 201) return kCouldNotRun;
+  size_t before = cluster.launches().size();
+  cluster.RunFor(75);
+  size_t started = 0;
+  for (size_t i = before; i < cluster.launches().size(); ++i) {
+    if (cluster.launches()[i].leg.starts_with(job.uid)) ++started;
+  }
+  Answer answer = cluster.PollNow(2, job.uid);
+  cluster.Record(
+      fmt::format("started of {}: {}; {}", job.uid, started, answer.state));
+  return started == 0 ? kBroken : kHeld;
+}
+
 // Not a case; see REPORT-2.md. A submission lacks a field. Broken: it is
 // accepted.
 int LacksField(const std::string& folder) {
@@ -200,7 +370,7 @@
   return accepted > 0 ? kBroken : kHeld;
 }
 
-// Case 4. The service has run for more than a day: the state service holds the
+// Case 5. The service has run for more than a day: the state service holds the
 // records of the jobs that are done. Broken: no question about a job that its
 // user knows as done is answered for 75 s.
 int Forgotten(const std::string& folder) {
@@ -274,6 +444,8 @@
 int Run(const std::string& name, const std::string& folder) {
   if (name == "stale-holder") return StaleHolder(folder);
   if (name == "forgotten") return Forgotten(folder);
+  if (name == "ran-twice") return RanTwice(folder);
+  if (name == "guarantee") return Guarantee(folder);
   if (name == "start-after-cancel") return StartAfterCancel(folder);
   if (name == "lacks-field") return LacksField(folder);
   std::fprintf(stderr, "no such case: %s\n", name.c_str());
--- a/review/stand_in_2/cluster.cc
+++ b/review/stand_in_2/cluster.cc
@@ -321,7 +321,10 @@
   std::vector<std::pair<std::string, std::function<void(Packer&)>>> fields = {
       {"uid", [&](Packer& out) { out.Value(job.uid); }},
       {"lane", [&](Packer& out) { out.Value(job.lane); }},
-      {"crew", [&](Packer& out) { out.Value(settings_.team); }},
+      {"crew",
+       [&](Packer& out) {
+         out.Value(job.crew.empty() ? settings_.team : job.crew);
+       }},
       {"shape", [&](Packer& out) { out.Value(job.shape); }},
       {"urgency", [&](Packer& out) { out.Value(job.urgency); }},
       {"legs", [&](Packer& out) { out.Value(job.legs); }},
@@ -529,10 +532,14 @@
   text += fmt::format(
       "[cluster]\nsize = {}\nzones = [{}]\ntime_bound_ms = 25.0\n\n",
       settings_.controllers, zones);
-  text += fmt::format(
-      "[[cluster.teams]]\nname = \"{}\"\ncpus = {:.1f}\ncpus_max = {:.1f}\n"
-      "gpus = 0.0\ngpus_max = 0.0\n\n",
-      settings_.team, settings_.team_cpus, settings_.team_cpus_max);
+  std::vector<std::string> teams = settings_.other_teams;
+  teams.insert(teams.begin(), settings_.team);
+  for (const std::string& team : teams) {
+    text += fmt::format(
+        "[[cluster.teams]]\nname = \"{}\"\ncpus = {:.1f}\ncpus_max = {:.1f}\n"
+        "gpus = 0.0\ngpus_max = 0.0\n\n",
+        team, settings_.team_cpus, settings_.team_cpus_max);
+  }
   text += fmt::format(
       "[[cluster.objectives]]\nkind = \"finished\"\nclass = \"pridelek\"\n"
       "within_s = 70.0\nshare = 0.8\n\n"
@@ -836,7 +843,11 @@
       used += machine->zone == zone && machine->spot == spot;
     }
     std::vector<std::string> names;
-    for (; names.size() < count && used < settings_.capacity; ++used) {
+    size_t capacity = settings_.capacity;
+    if (spot && settings_.spot_capacity >= 0) {
+      capacity = static_cast<size_t>(settings_.spot_capacity);
+    }
+    for (; names.size() < count && used < capacity; ++used) {
       std::uniform_real_distribution<double> boot(0.6, 1.5);
       names.push_back(
           AddMachine(zone, spot, Now(), settings_.boot_s * boot(random_)).name);
@@ -951,6 +962,24 @@
   return added;
 }
 
+void Cluster::RestartMachine(const std::string& name, double seconds) {
+  Machine& machine = *machines_.at(name);
+  Record(fmt::format("machine {} restarts", name));
+  machine.worker.reset();
+  machine.nodes.clear();
+  machine.waiting = false;
+  machine.answered_by = -1;
+  machine.answered_at = -1;
+  machine.up = Now() + pitchfall::Seconds(seconds);
+}
+
+void Cluster::DeliverCopy(int controller, const std::string& report) {
+  Record(
+      fmt::format("a late copy of a report arrives at {}", Label(controller)));
+  Send(controller, {true, "/checkin", report}, 4, "(late copy of a report)",
+       nullptr);
+}
+
 void Cluster::BringUp(Machine& machine) {
   Worker::Config config;
   config.name = machine.name;
@@ -1070,6 +1099,7 @@
   machine.next_report =
       sent + pitchfall::Seconds(settings_.report_s * jitter(random_));
   HttpRequest request{true, "/checkin", machine.worker->MakeHeartbeat(sent)};
+  machine.last_report = request.body;
   uint64_t epoch = machine.worker->agent_epoch();
   machine.nodes[machine.node]->Send(
       std::move(request), kReportTimeout,
--- a/review/stand_in_2/cluster.h
+++ b/review/stand_in_2/cluster.h
@@ -59,6 +59,10 @@
   std::string team = "cenilci";
   double team_cpus = 0;      // guaranteed
   double team_cpus_max = 0;  // 0: no limit
+  // Other teams with the same guarantee and limit.
+  std::vector<std::string> other_teams;
+  // The most cheap machines of each zone; -1: as many as `capacity`.
+  int spot_capacity = -1;
   double cpu_share = 0.12;
   double memory_mb = 72;
   // Whether the platform ends a controller that holds more than `memory_mb`,
@@ -71,6 +75,7 @@
 struct JobOrder {
   std::string uid;
   std::string lane = "pridelek";
+  std::string crew;  // empty: the team of the settings
   std::string shape = "sweep";
   std::string urgency = "standard";
   uint32_t legs = 1;
@@ -195,10 +200,17 @@
     double answered_at = -1;
     int answered_by = -1;
     std::set<std::string> on_it;  // tasks that are on the machine
+    std::string last_report;      // the body of the newest report
   };
   const std::map<std::string, std::unique_ptr<Machine>>& machines() const {
     return machines_;
   }
+  // The machine stops with all that is on it and is back after `seconds`, with
+  // a new worker.
+  void RestartMachine(const std::string& name, double seconds);
+  // A late copy of a report arrives at the controller; nobody waits for the
+  // answer.
+  void DeliverCopy(int controller, const std::string& report);
   uint32_t PartitionOfMachine(const std::string& name) const;
 
   // What the platform saw: a deletion of a machine that was there.
