Confirm a cancellation only when no owner can start the job's tasks

Cause: a start is sent in the answer to a heartbeat, after its binding was stored, if the owner's last read is less than 2 s old. The cancellation was confirmed as soon as it was stored; an owner without connections learns of it neither by reading nor by a peer heartbeat.

Change: every answer that shows a job as cancelled (first, repeated, poll, repeated submission, at any controller) waits until all other controllers show in a heartbeat that they know the cancellation, or the owners of the job's bound tasks do, or 2.25 s have passed since a reply of the state service showed it. Controllers list in each heartbeat all cancellations that they know beyond their revision, and send one within 50 ms of learning of one. After all records were listed anew nothing starts before the next read of the log: the listing may lack a cancellation that this process has stored meanwhile.

Tests: the model compares when a start was sent with when the user was told; its former allowance of 6.5 s is gone, so the check is stricter. Only confirmations by the version in production keep 2 s, since it confirms at once. A paused controller reads its peers last. PeersTest advances the revision of its state cache, as a read does. cancellations_stored() had no use but in tests, which count in the state cache now; HeartbeatDue is tested for all ways to learn of a cancellation.

--- a/src/core/controller.cc
+++ b/src/core/controller.cc
@@ -105,6 +105,14 @@
   partition->second->OnWorkerHeartbeat(command.request, heartbeat);
 }
 
+void Controller::HandleCommand(const StateReply& reply) {
+  if (reply.revision > 0) {
+    context_.cancellation_acknowledgements.OnStoredRevision(reply.revision,
+                                                            context_.now());
+  }
+  outbox_.Handle(reply);
+}
+
 void Controller::HandleCommand(const PeerHeartbeat& heartbeat) {
   if (!peers_.OnHeartbeat(heartbeat)) return;
   for (const auto& [number, fencing_token] : heartbeat.tokens) {
@@ -169,12 +177,10 @@
 }
 
 void Controller::SendHeartbeatIfDue() {
-  uint64_t stored_cancellations = job_requests_.cancellations_stored();
-  if (!peers_.HeartbeatDue(stored_cancellations)) return;
+  if (!peers_.HeartbeatDue()) return;
   LocalStatus status;
   status.usage = rate_limits_.MeasureUsage(context_.now());
   status.misrouted_workers = misrouted_workers_.CountByPartition();
-  status.stored_cancellations = stored_cancellations;
   for (const auto& [number, partition] : partitions_) {
     status.partitions.push_back(
         {number, partition->fencing_token(), partition->Free()});
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -56,7 +56,7 @@
   // else with 503 and Retry-After.
   void HandleCommand(const HealthCheck& command);
   void HandleCommand(const ReceiveWorkerHeartbeat& command);
-  void HandleCommand(const StateReply& reply) { outbox_.Handle(reply); }
+  void HandleCommand(const StateReply& reply);
   void HandleCommand(const CloudReply& reply) { outbox_.Handle(reply); }
   void HandleCommand(const WorkerReply& reply) { outbox_.Handle(reply); }
   void HandleCommand(const PeerHeartbeat& heartbeat);
--- a/src/core/jobs/job_change_queue.cc
+++ b/src/core/jobs/job_change_queue.cc
@@ -251,15 +251,17 @@
 }
 
 void JobChangeQueue::Acknowledge(const PendingChange& change) {
-  bool cancelled = change.kind == Kind::kCancellation;
-  if (cancelled) ++cancellations_stored_;
+  if (change.kind == Kind::kCancellation) {
+    for (RequestId request : change.requests) {
+      queries_.AnswerAsOf(request, change.job, TaskCounts::kOmit, change.since);
+    }
+    return;
+  }
   JobAnswer answer;
   answer.id = change.job;
-  answer.status =
-      cancelled ? JobAnswer::Status::kCancelled : JobAnswer::Status::kQueued;
-  int status = cancelled ? http_status::kOk : http_status::kCreated;
+  answer.status = JobAnswer::Status::kQueued;
   for (RequestId request : change.requests) {
-    outbox_.Answer(request, status, answer);
+    outbox_.Answer(request, http_status::kCreated, answer);
   }
 }
 
--- a/src/core/jobs/job_change_queue.h
+++ b/src/core/jobs/job_change_queue.h
@@ -61,9 +61,6 @@
   // commands.
   void RunDueWork();
 
-  // Returns how many cancellations this process has stored since it started.
-  uint64_t cancellations_stored() const { return cancellations_stored_; }
-
  private:
   enum class Kind : uint8_t { kSubmission, kCancellation };
   // A change that is not stored yet.
@@ -108,8 +105,8 @@
   // Applies a batch that was stored at `revision` to the state cache and
   // acknowledges its changes.
   void OnStored(const Batch& batch, uint64_t revision);
-  // Answers the change's requests: 201 for a submission, 200 for a
-  // cancellation.
+  // Answers the change's requests: 201 for a submission, and for a cancellation
+  // 200 as soon as it may be confirmed.
   void Acknowledge(const PendingChange& change);
   void Requeue(std::vector<PendingChange> changes);
   // Answers the change's requests with 503 and Retry-After.
@@ -129,7 +126,6 @@
   std::deque<PendingChange> queue_;
   bool storing_ = false;     // whether a transaction is in flight
   SteadyTime next_store_{};  // no batch is stored before this time
-  uint64_t cancellations_stored_ = 0;
 };
 
 }  // namespace pitchfall
--- a/src/core/jobs/job_requests.h
+++ b/src/core/jobs/job_requests.h
@@ -34,19 +34,15 @@
   // Answers with 200 and the job's state, 404 if there is no such job, or 503
   // with Retry-After.
   void Poll(RequestId request, const std::string& job_id);
-  // Answers with 200 once the cancellation is stored or if the job is final,
-  // 404 if there is no such job, or 503 with Retry-After.
+  // Answers with 200 once the cancellation is stored and may be confirmed
+  // (CancellationAcknowledgements) or if the job is done, 404 if there is no
+  // such job, or 503 with Retry-After.
   void Cancel(RequestId request, const std::string& job_id);
 
   // Advances the waiting queries and changes. To be called once per batch of
   // commands, after all commands have been handled.
   void RunDueWork();
 
-  // Returns how many cancellations this process has stored since it started.
-  uint64_t cancellations_stored() const {
-    return changes_.cancellations_stored();
-  }
-
  private:
   // Cancels a job that the state cache does not show yet.
   void CancelAfterNextRead(RequestId request, const std::string& job_id);
--- a/src/core/membership/peers.cc
+++ b/src/core/membership/peers.cc
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <utility>
 
 namespace pitchfall {
 namespace {
 
 constexpr Duration kHeartbeatInterval = Millis(500);
-// The interval after a cancellation has been stored; cancellations stored
-// within it share a heartbeat.
+// The interval after this controller has learned of a cancellation; those
+// learned within it share a heartbeat.
 constexpr Duration kUrgentHeartbeatInterval = Millis(50);
 // A peer counts as live for this long after its last heartbeat: five intervals.
 constexpr Duration kPeerTimeout = Millis(2500);
@@ -43,6 +44,7 @@
   }
   context_.cancellation_watermark.OnPeerHeartbeat(
       heartbeat, now, context_.state_watcher.current_as_of());
+  context_.cancellation_acknowledgements.OnPeerHeartbeat(heartbeat);
   return true;
 }
 
@@ -53,10 +55,10 @@
   });
 }
 
-bool Peers::HeartbeatDue(uint64_t stored_cancellations) const {
+bool Peers::HeartbeatDue() const {
   SteadyTime now = context_.now();
   if (now >= next_due_) return true;
-  return stored_cancellations != announced_cancellations_ &&
+  return KnownCancellations() != announced_cancellations_ &&
          now - last_sent_ >= kUrgentHeartbeatInterval;
 }
 
@@ -64,7 +66,7 @@
   SteadyTime now = context_.now();
   // The first heartbeat is sent as soon as the process starts its work.
   if (!first_sent_) first_sent_ = now;
-  announced_cancellations_ = status.stored_cancellations;
+  announced_cancellations_ = KnownCancellations();
   last_sent_ = now;
   next_due_ = now + kHeartbeatInterval;
   for (const LocalStatus::OwnedPartition& partition : status.partitions) {
@@ -93,6 +95,7 @@
   heartbeat.revision = context_.state_cache.revision();
   heartbeat.sender_time = now;
   AddCancellationEchoes(heartbeat);
+  AddUnreadCancellations(heartbeat);
   return heartbeat;
 }
 
@@ -113,6 +116,21 @@
   }
 }
 
+// With these the heartbeat shows all that this process knows: everything up to
+// its revision, and what it has stored itself or heard of since.
+void Peers::AddUnreadCancellations(PeerHeartbeat& heartbeat) const {
+  std::set<std::string> listed(heartbeat.cancelled.begin(),
+                               heartbeat.cancelled.end());
+  auto add = [&](const std::string& id) {
+    if (heartbeat.cancelled.size() >= kMaxCancellationsPerHeartbeat) return;
+    if (listed.insert(id).second) heartbeat.cancelled.push_back(id);
+  };
+  auto stored = context_.state_cache.CancelledSince(
+      heartbeat.revision, kMaxCancellationsPerHeartbeat);
+  if (stored) std::ranges::for_each(*stored, add);
+  std::ranges::for_each(context_.cancelled_by_peers, add);
+}
+
 std::vector<const Peers::Peer*> Peers::LivePeersByRevision() const {
   std::vector<const Peer*> live;
   for (const auto& [label, peer] : peers_) {
--- a/src/core/membership/peers.h
+++ b/src/core/membership/peers.h
@@ -28,8 +28,6 @@
   // their owner, indexed by partition.
   std::vector<uint32_t> misrouted_workers;
   std::vector<OwnedPartition> partitions;  // that this process owns
-  // The number of cancellations that this process has stored so far.
-  uint64_t stored_cancellations = 0;
 };
 
 // Keeps the newest heartbeat of each peer. No other class writes
@@ -48,10 +46,11 @@
   // well.
   void ForgetStoredCancellations();
 
-  // Whether a heartbeat is due: after the regular interval, or soon after a
-  // cancellation has been stored, so that the other controllers stop the job's
-  // tasks. `stored_cancellations` is the count in LocalStatus.
-  bool HeartbeatDue(uint64_t stored_cancellations) const;
+  // Whether a heartbeat is due: after the regular interval, or soon after this
+  // controller has learned of a cancellation. A controller that has stored one
+  // waits for such heartbeats of the others before it tells the user
+  // (CancellationAcknowledgements).
+  bool HeartbeatDue() const;
 
   // Sends a heartbeat to all peers and records the free capacity of this
   // controller's own partitions.
@@ -84,9 +83,18 @@
   }
   bool IsLive(const Peer& peer) const;
   PeerHeartbeat BuildHeartbeat(const LocalStatus& status) const;
+  // How many cancellations this process has learned of. One that moves from
+  // `cancelled_by_peers` to the state cache counts once.
+  uint64_t KnownCancellations() const {
+    return context_.state_cache.cancellations_shown() +
+           context_.cancelled_by_peers.size();
+  }
   // Adds the echoes of the peers' sender times, and the cancellations that make
   // the echoes valid (see core/state/cancellation_watermark.h).
   void AddCancellationEchoes(PeerHeartbeat& heartbeat) const;
+  // Adds the cancellations that this process knows beyond its revision, as many
+  // as fit.
+  void AddUnreadCancellations(PeerHeartbeat& heartbeat) const;
   // Returns the live peers, those whose state has the highest revision first.
   std::vector<const Peer*> LivePeersByRevision() const;
 
@@ -95,7 +103,7 @@
   std::optional<SteadyTime> first_sent_;  // empty: no heartbeat sent yet
   SteadyTime last_sent_{};
   SteadyTime next_due_{};
-  // The count of stored cancellations at the last heartbeat.
+  // KnownCancellations() at the last heartbeat.
   uint64_t announced_cancellations_ = 0;
 };
 
--- a/src/core/model/messages.h
+++ b/src/core/model/messages.h
@@ -256,7 +256,7 @@
   };
   std::vector<Echo> echoes;
   // Jobs that the sender knows to have been cancelled after the lowest revision
-  // among the controllers that get an echo.
+  // among the controllers that get an echo, and after its own revision.
   std::vector<std::string> cancelled;
   std::map<uint32_t, uint64_t> tokens;  // fencing tokens by owned partition
 };
--- a/src/core/state/context.h
+++ b/src/core/state/context.h
@@ -10,6 +10,7 @@
 #include "core/model/free_capacity.h"
 #include "core/model/outbox.h"
 #include "core/model/settings.h"
+#include "core/state/cancellation_acknowledgements.h"
 #include "core/state/cancellation_watermark.h"
 #include "core/state/state_cache.h"
 #include "core/state/state_limits.h"
@@ -39,6 +40,8 @@
   // record does not show it yet. A cancellation is never undone, so an entry
   // holds until the cached record is final.
   std::set<std::string> cancelled_by_peers{};
+  CancellationAcknowledgements cancellation_acknowledgements{deployment,
+                                                             state_cache};
 
   // The steady time at which the current batch of commands is handled.
   SteadyTime now() const { return outbox.now().steady; }
--- a/src/core/state/recent_cancellations.cc
+++ b/src/core/state/recent_cancellations.cc
@@ -4,6 +4,7 @@
 
 void RecentCancellations::Add(uint64_t mod_revision, const std::string& job) {
   jobs_.insert({mod_revision, job});
+  ++added_;
   if (jobs_.size() <= kMaxKept) return;
   last_dropped_revision_ = jobs_.begin()->first;
   jobs_.erase(jobs_.begin());
--- a/src/core/state/recent_cancellations.h
+++ b/src/core/state/recent_cancellations.h
@@ -23,6 +23,9 @@
   // kMaxKept.
   void Add(uint64_t mod_revision, const std::string& job);
 
+  // How many cancellations have been added.
+  uint64_t added() const { return added_; }
+
   // Returns the jobs cancelled after the revision, oldest first. Returns
   // nullopt if there are more than `max_count`, or if some of them may have
   // been dropped.
@@ -32,6 +35,7 @@
  private:
   // Revision of the cancellation, and job.
   std::set<std::pair<uint64_t, std::string>> jobs_;
+  uint64_t added_ = 0;
   // Cancellations up to this revision may have been dropped; all later ones are
   // present. 0 if none has been dropped.
   uint64_t last_dropped_revision_ = 0;
--- a/src/core/state/state_cache.h
+++ b/src/core/state/state_cache.h
@@ -64,6 +64,9 @@
     return recent_cancellations_.Since(revision, max_count);
   }
 
+  // How many cancellations the cache has been shown.
+  uint64_t cancellations_shown() const { return recent_cancellations_.added(); }
+
   // Null if no segment of this slot is known.
   const Segment *FindSegment(uint32_t partition, uint32_t slot) const {
     return jobs_.FindSegment(partition, slot);
--- a/src/core/state/state_watcher.cc
+++ b/src/core/state/state_watcher.cc
@@ -82,6 +82,7 @@
   state_cache_.Replace(std::move(listing_->new_cache));
   listing_.reset();
   loaded_ = true;
+  read_since_listing_ = false;
   // The pages show different points in time: a segment may name jobs that an
   // earlier page did not contain yet. The state is consistent only after the
   // changes since the first page have been read, so this does not count as a
@@ -96,7 +97,10 @@
 void StateWatcher::FinishRead(bool succeeded) {
   SteadyTime now = outbox_.now().steady;
   read_in_progress_ = false;
-  if (succeeded) current_as_of_ = read_started_;
+  if (succeeded) {
+    current_as_of_ = read_started_;
+    read_since_listing_ = true;
+  }
   earliest_next_read_ = now + (succeeded ? kMinReadPause : kRetryDelay);
   for (ReadCallback& waiter : std::exchange(current_read_waiters_, {})) {
     waiter(succeeded);
--- a/src/core/state/state_watcher.h
+++ b/src/core/state/state_watcher.h
@@ -58,12 +58,18 @@
   bool loaded() const { return loaded_; }
   // How long ago the last successful read began.
   Duration Age() const { return outbox_.now().steady - current_as_of_; }
-  // Whether the cache is recent enough to act on.
-  bool IsFresh() const { return loaded_ && Age() < kMaxFreshAge; }
+  // The cache is recent enough to act on while its age is below this. Other
+  // controllers rely on it (CancellationAcknowledgements), so versions that run
+  // side by side must agree on it.
+  static constexpr Duration kMaxFreshAge = Millis(2000);
+  // Whether the cache is recent enough to act on. False from a complete listing
+  // until the next watch read: the listing's first pages may lack changes that
+  // this process has stored itself and acknowledged meanwhile.
+  bool IsFresh() const {
+    return loaded_ && read_since_listing_ && Age() < kMaxFreshAge;
+  }
 
  private:
-  // The cache is recent enough to act on while its age is below this.
-  static constexpr Duration kMaxFreshAge = Millis(2000);
   // Time between the starts of two reads if none is requested.
   static constexpr Duration kIdleInterval = Millis(200);
   // Shortest time between the end of a successful read and the next read.
@@ -102,6 +108,7 @@
   };
   std::optional<Listing> listing_;
   bool loaded_ = false;
+  bool read_since_listing_ = false;  // whether a watch read has succeeded
   bool read_requested_ = true;
   bool read_in_progress_ = false;
   SteadyTime read_started_{};  // start of the last read
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -4,7 +4,7 @@
 $Cxx.namespace("pitchfall::wire::schema");
 
 # What a controller sends to all others twice a second, and at once when it has
-# stored a cancellation. Its counterpart is PeerHeartbeat in
+# learned of a cancellation. Its counterpart is PeerHeartbeat in
 # core/model/messages.h. Times and durations are in microseconds.
 struct PeerHeartbeat {
   label @0 :Text;
@@ -22,7 +22,8 @@
   revision @9 :UInt64;  # the sender knows the state up to here
   senderTimeMicros @10 :Int64;  # the sender's steady clock; only it reads this
   echoes @11 :List(Echo);
-  # Ids of the jobs cancelled since the revisions of the echoed heartbeats.
+  # Ids of the jobs cancelled since the revisions of the echoed heartbeats, and of
+  # all others that the sender knows to be cancelled beyond its own revision.
   cancelled @12 :List(Text);
   tokens @13 :List(Token);
 }
--- a/tests/jobs_test.cc
+++ b/tests/jobs_test.cc
@@ -144,7 +144,8 @@
   StateLimits limits_{deployment_};
   CapacityTable capacity_{kPartitionCount};
   StateWatcher watcher_{tuning_, outbox_, state_cache_, requests_};
-  JobQueries queries_{outbox_, state_cache_, watcher_};
+  CancellationAcknowledgements acknowledgements_{deployment_, state_cache_};
+  JobQueries queries_{outbox_, state_cache_, watcher_, acknowledgements_};
   JobAdmission admission_{deployment_, tuning_, outbox_,   state_cache_,
                           watcher_,    limits_, capacity_, kPartitionCount};
   JobChangeQueue queue_{
@@ -393,7 +394,7 @@
   EXPECT_EQ(transaction.conditions[0].mod_revision, mod_revision);
   AnswerState(http_status::kOk);
   EXPECT_EQ(StatusOf(2), http_status::kOk);
-  EXPECT_EQ(queue_.cancellations_stored(), 1u);
+  EXPECT_EQ(state_cache_.cancellations_shown(), 1u);
   EXPECT_EQ(state_cache_.FindJob(kJob)->record.state, JobState::kCancelled);
 }
 
@@ -549,7 +550,7 @@
   job_requests_.RunDueWork();
   AnswerState(http_status::kOk);
   EXPECT_EQ(StatusOf(1), http_status::kOk);
-  EXPECT_EQ(job_requests_.cancellations_stored(), 1u);
+  EXPECT_EQ(state_cache_.cancellations_shown(), 1u);
 }
 
 TEST_F(JobRequestsTest, CannotCancelAJobThatWasNeverSubmitted) {
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -99,7 +99,9 @@
     job.spec.id = id;
     job.spec.tasks = 1;
     job.state = JobState::kCancelled;
-    return Store(keys::Job(id), job);
+    uint64_t revision = Store(keys::Job(id), job);
+    state_cache_.AdvanceTo(revision);
+    return revision;
   }
 
   // Returns the effects of type T since the last call and drops all others.
@@ -246,18 +248,33 @@
 }
 
 TEST_F(PeersTest, SendsAtTheIntervalAndSoonAfterACancellation) {
-  EXPECT_TRUE(peers_.HeartbeatDue(0));
+  EXPECT_TRUE(peers_.HeartbeatDue());
   ASSERT_TRUE(Send());
-  EXPECT_FALSE(peers_.HeartbeatDue(0));
-  Advance(Millis(49));
-  EXPECT_FALSE(peers_.HeartbeatDue(1));
-  Advance(Millis(1));
-  EXPECT_TRUE(peers_.HeartbeatDue(1));
-  EXPECT_FALSE(peers_.HeartbeatDue(0));
+  EXPECT_FALSE(peers_.HeartbeatDue());
+  Advance(Millis(50));
+  EXPECT_FALSE(peers_.HeartbeatDue());
   Advance(Millis(449));
-  EXPECT_FALSE(peers_.HeartbeatDue(0));
+  EXPECT_FALSE(peers_.HeartbeatDue());
+  Advance(Millis(1));
+  EXPECT_TRUE(peers_.HeartbeatDue());
+  ASSERT_TRUE(Send());
+  StoreCancelledJob("job-1");
+  Advance(Millis(49));
+  EXPECT_FALSE(peers_.HeartbeatDue());
   Advance(Millis(1));
-  EXPECT_TRUE(peers_.HeartbeatDue(0));
+  EXPECT_TRUE(peers_.HeartbeatDue());
+  ASSERT_TRUE(Send());
+  // One that it hears of is due as soon; that the cache shows it then is not.
+  Advance(Millis(50));
+  PeerHeartbeat heartbeat = HeartbeatFrom("node-1");
+  heartbeat.cancelled = {"job-2"};
+  EXPECT_TRUE(peers_.OnHeartbeat(heartbeat));
+  EXPECT_TRUE(peers_.HeartbeatDue());
+  ASSERT_TRUE(Send());
+  Advance(Millis(50));
+  StoreCancelledJob("job-2");
+  peers_.ForgetStoredCancellations();
+  EXPECT_FALSE(peers_.HeartbeatDue());
 }
 
 TEST_F(PeersTest, HeartbeatCarriesTheLocalStatus) {
--- a/tests/sim/cluster_simulation.cc
+++ b/tests/sim/cluster_simulation.cc
@@ -19,15 +19,19 @@
 // The longest time without an answer to a user who polls. The protocol's bound
 // is 90 s; the operators' is 75 s once faults are over.
 constexpr Duration kMaxTimeWithoutAnswer = Millis(75000);
-// A deleted machine may still be assigned tasks until its deletion is known.
-constexpr Duration kDeletionVisibleAfter = Millis(8000);
+// A deleted machine may still be assigned tasks until its deletion is known:
+// for three heartbeat intervals and this time.
+constexpr Duration kDeletionVisibleAfterSilence = Millis(5000);
 // The operators' bound on waiting while a suitable machine has capacity.
 constexpr Duration kMaxWaitBesideCapacity = Millis(90000);
 // The largest job of a class starts within this time.
 constexpr Duration kMaxStartDelayOfLargest = Millis(240000);
-// A start may be in flight when a cancellation is confirmed: it is based on
-// state up to 2 s old, and sent in an answer that the worker accepts for 4 s.
-constexpr Duration kMaxStartInFlight = Millis(6500);
+// For so long after its last read the version in production sends starts,
+// whatever cancellations it confirms to users meanwhile.
+constexpr Duration kProductionReadAge = Millis(2000);
+// A controller that was paused reads its connections in any order. Here those
+// of workers and users come first, so that it acts before it hears its peers.
+constexpr Duration kPeerDelayAfterPause = Millis(5);
 // Longer than any simulation runs.
 constexpr double kEndlessRunS = 1e6;
 constexpr char kLargeJob[] = "run-900000";
@@ -114,6 +118,9 @@
   bool submitted = false;
   std::optional<SteadyTime> accepted;  // when a user was told
   bool asked_cancel = false;
+  std::optional<SteadyTime> first_asked_cancel;
+  // The version in production confirmed the cancellation first.
+  bool cancelled_by_production = false;
   bool asked_by_name = false;             // by CancelAtEnd or CancelNow
   std::optional<SteadyTime> first_start;  // of a task
   int starts = 0;
@@ -160,6 +167,8 @@
   if (config_.isolate_a_node) After(Seconds(30), [this] { IsolateNode(); });
   if (config_.crowded) AddSaturatingLoad();
   if (config_.wide_jobs > 0) AddWideJobs();
+  if (config_.owner_cuts)
+    After(RandomDuration(8, 12), [this] { CutOwnerAsJobsStart(); });
   if (config_.odd_requests) After(Seconds(2), [this] { SendInvalidRequest(); });
   After(Seconds(1), [this] { CheckForgotten(); });
   After(Seconds(1), [this] { CheckWaiting(); });
@@ -307,7 +316,9 @@
   bool tick = command != nullptr && std::holds_alternative<Tick>(*command);
   if (now_ < node.frozen_until) {
     if (tick) return;
-    After(node.frozen_until - now_,
+    bool from_peer = std::holds_alternative<EncodedPeerMessage>(input);
+    After(node.frozen_until - now_ +
+              (from_peer ? kPeerDelayAfterPause : Duration(0)),
           [this, index, incarnation, i = std::move(input)] {
             Deliver(index, incarnation, i);
           });
@@ -364,6 +375,7 @@
 
 void ClusterSimulation::Perform(Node& node, const Effect& effect) {
   if (const auto* reply = std::get_if<Reply>(&effect)) {
+    NoteConfirmation(node, *reply);
     auto waiting = node.waiting.extract(reply->request);
     if (!waiting.empty()) waiting.mapped()(*reply);
   } else if (const auto* cloud = std::get_if<CloudCall>(&effect)) {
@@ -543,7 +555,10 @@
                      machine](const std::optional<Reply>& reply) {
       if (worker && now_ < nodes_[index]->worker_cut_until) return;
       if (CutOff(index, machine)) return;
-      After(MessageDelay(), [answer, reply] { answer(reply); });
+      After(MessageDelay(), [this, answer, reply, sent = now_] {
+        answer_sent_ = sent;
+        answer(reply);
+      });
     };
     Deliver(index, n.incarnation, ControllerInput(make(id)));
   });
@@ -678,9 +693,7 @@
   size_t slash = task.rfind('/');
   JobModel& job = *jobs_.at(task.substr(0, slash));
   if (event == fakes::Worker::TaskEvent::kLaunched) {
-    if (job.cancelled && now_ > *job.cancelled + kMaxStartInFlight) {
-      Violation("started_cancelled", task + " launched on " + machine);
-    }
+    CheckLaunch(job, machine, task);
     return;
   }
   if (event == fakes::Worker::TaskEvent::kLost) {
@@ -745,6 +758,33 @@
   if (wrong) Violation("wrong_place", task + " on " + machine);
 }
 
+// Once a user has been told that a job is cancelled, no controller sends a
+// start of its tasks any more. One that was sent before may be in flight, until
+// the worker drops the answer that carries it.
+void ClusterSimulation::CheckLaunch(const JobModel& job,
+                                    const std::string& machine,
+                                    const std::string& task) {
+  if (!job.cancelled) return;
+  SteadyTime last_sent = *job.cancelled;
+  if (job.cancelled_by_production) last_sent += kProductionReadAge;
+  if (answer_sent_ <= last_sent && now_ <= last_sent + kHeartbeatTimeout) {
+    return;
+  }
+  Violation("started_cancelled",
+            fmt::format("{} launched on {}, sent {:.3f} s after", task, machine,
+                        ToSeconds(answer_sent_ - *job.cancelled)));
+}
+
+void ClusterSimulation::NoteConfirmation(const Node& node, const Reply& reply) {
+  const auto* answer = std::get_if<JobAnswer>(&reply.body);
+  bool confirms =
+      answer != nullptr && answer->status == JobAnswer::Status::kCancelled;
+  if (!confirms || !RunsProduction(node)) return;
+  auto job = jobs_.find(answer->id);
+  if (job == jobs_.end() || job->second->cancelled) return;
+  job->second->cancelled_by_production = true;
+}
+
 void ClusterSimulation::CheckCancelled() {
   if (now_ < next_cancel_check_) return;
   next_cancel_check_ = now_ + Millis(20);
@@ -894,9 +934,10 @@
               });
 }
 
-void ClusterSimulation::TryCancel(const std::string& id) {
+void ClusterSimulation::TryCancel(const std::string& id, size_t index) {
   jobs_[id]->asked_cancel = true;
-  SendRequest(RandomIndex(config_.nodes), CancelOf(id), Seconds(5), "",
+  if (!jobs_[id]->first_asked_cancel) jobs_[id]->first_asked_cancel = now_;
+  SendRequest(index, CancelOf(id), Seconds(5), "",
               [this, id, asked = now_](const std::optional<Reply>& reply) {
                 JobModel& job = *jobs_[id];
                 if (reply && reply->status == 200) {
@@ -1214,6 +1255,19 @@
   }
 }
 
+void ClusterSimulation::CancelStarting(int count) {
+  AppendLog("users cancel starting jobs");
+  for (const auto& [id, job] : jobs_) {
+    if (count == 0) break;
+    if (!job->accepted || job->asked_cancel || job->final()) continue;
+    auto started = job->finished.size() + TasksOnMachines(id);
+    if (started >= job->spec.tasks) continue;
+    --count;
+    job->asked_cancel = true;
+    After(RandomDuration(0, 0.2), [this, id = id] { TryCancel(id); });
+  }
+}
+
 JobSpec& ClusterSimulation::AddJobAt(double second, const std::string& id,
                                      uint32_t tasks, double run_s) {
   JobModel& job = AddPlainJob(id, tasks, run_s);
@@ -1434,6 +1488,19 @@
   }
 }
 
+void ClusterSimulation::CutOwnerAsJobsStart() {
+  if (now_ - SteadyTime(Seconds(1000)) > config_.faults_until) return;
+  auto partitions = static_cast<uint32_t>(config_.nodes);
+  if (config_.partition_count > 0) partitions = config_.partition_count;
+  auto partition = static_cast<uint32_t>(RandomIndex(partitions));
+  CutNode(OwnerOf(partition),
+          {.state = true, .peers = true, .hold = Chance() < 0.5},
+          ToSeconds(RandomDuration(2, 10)));
+  CancelStarting(3);
+  faults_over_at_ = std::max(faults_over_at_, now_ + Seconds(20));
+  After(RandomDuration(4, 10), [this] { CutOwnerAsJobsStart(); });
+}
+
 // A machine is back in less than a second, without its former state.
 void ClusterSimulation::RestartMachine() {
   if (machines_.empty()) return;
@@ -1514,14 +1581,25 @@
   return jobs_.at(id)->asked_cancel;
 }
 
-int ClusterSimulation::replicas_up(const std::string& id) const {
-  return static_cast<int>(
+size_t ClusterSimulation::TasksOnMachines(const std::string& id) const {
+  return static_cast<size_t>(
       std::ranges::count_if(task_placements_, [&](const auto& entry) {
         const TaskPlacement& on = entry.second;
         return on.job->spec.id == id && !on.machines.empty();
       }));
 }
 
+int ClusterSimulation::replicas_up(const std::string& id) const {
+  return static_cast<int>(TasksOnMachines(id));
+}
+
+std::optional<double> ClusterSimulation::cancelled_after(
+    const std::string& id) const {
+  const JobModel& job = *jobs_.at(id);
+  if (!job.cancelled || !job.first_asked_cancel) return std::nullopt;
+  return ToSeconds(*job.cancelled - *job.first_asked_cancel);
+}
+
 void ClusterSimulation::EndReplicas(double share) {
   for (auto& [name, simulated] : machines_) {
     if (Chance() < share) simulated->worker->EndReplicas();
@@ -1605,7 +1683,8 @@
         auto deleted = deleted_.find(a.machine);
         // The deletion may not be known yet.
         if (deleted == deleted_.end() ||
-            now_ - deleted->second < kDeletionVisibleAfter) {
+            now_ - deleted->second < 3 * deployment_.heartbeat_interval +
+                                         kDeletionVisibleAfterSilence) {
           continue;
         }
         Violation("revived", fmt::format("{}/{} bound to {}", entry.job, a.task,
--- a/tests/sim/cluster_simulation.h
+++ b/tests/sim/cluster_simulation.h
@@ -77,6 +77,9 @@
   // Once, at 30 s, controller 1 loses the state service and its peers for 30 s,
   // but neither its workers nor its users.
   bool isolate_a_node = false;
+  // Adds random faults: owners lose the state service and their peers, but not
+  // their workers, as users cancel jobs whose tasks are starting.
+  bool owner_cuts = false;
   // The longest time until a randomly crashed controller is back.
   double longest_down_s = 4;
   // Adds one large job of low priority at 10 s, and small ones of high priority
@@ -192,6 +195,9 @@
   // Users cancel up to that many running jobs. Machines that run their tasks
   // hang for `hang_s`; 0: none does.
   void CancelNow(int count, double hang_s);
+  // Users cancel up to that many accepted jobs of which some tasks have not
+  // started yet.
+  void CancelStarting(int count);
   // From now on, users cancel this share of the jobs within a second of the
   // completion of their last task.
   void CancelAtEnd(double share) { cancel_at_end_ = share; }
@@ -216,6 +222,13 @@
   void CancelAt(double second, const std::string& id) {
     At(second, [this, id] { TryCancel(id); });
   }
+  // The same at the controller.
+  void CancelAt(double second, const std::string& id, size_t index) {
+    At(second, [this, id, index] { TryCancel(id, index); });
+  }
+  // When a user was told that the job is cancelled, in seconds from its
+  // request; none if no user was.
+  std::optional<double> cancelled_after(const std::string& id) const;
   // Its tasks fail on every machine until its user cancels it.
   void AddBrokenJobAt(double second, const std::string& id, uint32_t tasks,
                       double cancel_after_s);
@@ -335,7 +348,11 @@
   void AddJob(int number);
   void TrySubmit(const std::string& id, SteadyTime since);
   void TryPoll(const std::string& id);
-  void TryCancel(const std::string& id);
+  void TryCancel(const std::string& id) {
+    TryCancel(id, RandomIndex(config_.nodes));
+  }
+  // Repeats the request at other controllers until it is answered.
+  void TryCancel(const std::string& id, size_t index);
   // Compares an answer with what users have been told. An answer may only
   // contradict what was told after `asked`, the time of its request.
   void CheckAnswer(JobModel& job, const JobAnswer& answer, SteadyTime asked);
@@ -344,7 +361,9 @@
   void InjectSecondaryFault(size_t index);
   void InjectFleetFault(size_t index);
   void InjectCompoundFault(size_t index);
+  void CutOwnerAsJobsStart();
   void CrashAllNodes();
+  size_t TasksOnMachines(const std::string& id) const;
   void Hang(const std::string& name, Duration how_long);
   std::vector<std::string> PickMachines(double share);
   // Returns whether no message passes between the controller and the machine
@@ -361,6 +380,10 @@
   void CheckForgotten();
   void CheckAssignments(const Transaction& txn);
   void CountOwnerTransaction(const Transaction& txn);
+  void CheckLaunch(const JobModel& job, const std::string& machine,
+                   const std::string& task);
+  // Notes which cancellations the version in production confirms first.
+  void NoteConfirmation(const Node& node, const Reply& reply);
   void CheckCancelled();
   // Once faults are over, no task waits long while a suitable machine has
   // capacity.
@@ -417,6 +440,8 @@
   FaultWindow kept_heartbeats_;
   Duration kept_heartbeats_delay_{0};
   SteadyTime watch_closely_until_{};
+  // When the controller sent the answer that is being delivered to a client.
+  SteadyTime answer_sent_{};
   double cancel_at_end_ = 0;
   int starts_after_cancellation_ = 0;
   int lost_with_lease_ = 0;
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -54,6 +54,15 @@
     config.team_limit = seed % 4 == 0 ? 24 : 120;
     config.end = Seconds(500);
   }
+  if (seed % 11 == 0) {
+    // Workers report so rarely that starts wait for their heartbeats.
+    config.owner_cuts = true;
+    config.jobs = 50;
+    config.team_limit = 120;
+    config.heartbeat_s = 2.5;
+    config.lease_s = 14;
+    config.cancel_s = 34;
+  }
   return config;
 }
 
--- a/tests/state_watcher_test.cc
+++ b/tests/state_watcher_test.cc
@@ -91,6 +91,21 @@
   EXPECT_TRUE(std::holds_alternative<ListRead>(NextRead().request));
 }
 
+// The listing's first pages may be older than a cancellation that this process
+// has stored meanwhile, so nothing is started on it, however recent the last
+// watch read is.
+TEST_F(StateWatcherTest, IsNotFreshBetweenANewListingAndTheNextWatchRead) {
+  Load();
+  EXPECT_TRUE(watcher_.IsFresh());
+  Answer(NextRead(), 410);
+  Answer(NextRead(), 200, 110);
+  EXPECT_TRUE(watcher_.loaded());
+  EXPECT_LT(watcher_.Age(), Seconds(1));
+  EXPECT_FALSE(watcher_.IsFresh());
+  Answer(NextRead(), 200, 112);
+  EXPECT_TRUE(watcher_.IsFresh());
+}
+
 TEST_F(StateWatcherTest, FailedReadProvesNothing) {
   Load();
   SteadyTime as_of = watcher_.current_as_of();
