Keep a machine's newest heartbeat until its deletion is confirmed

Cause: heartbeats that are not newer than the newest known one are refused, but the owner forgot a machine, with the number of its newest heartbeat, as soon as a deletion had been requested and the lease was over, whatever the cloud answered. The restarted worker, which counts from (1, 1) again, was taken as new, and the copy with its higher number as its newest heartbeat: the running tasks, which it does not list, counted as gone.

Change: a machine is dropped only once the cloud has confirmed its deletion. A heartbeat with a lower token than the newest one is refused, since a worker's token never falls, unless it has none and is of a later agent epoch: then the worker has restarted. So it has if its reply to a direct stop has no higher number. A restarted machine gets no tasks and is deleted. A machine that was cut off and comes back in a later epoch takes tasks again, as before. Machines whose deletion alone is missing are left out when the owner judges whether too many are silent, as they were when they had been forgotten.

CanRemove is a method now, so that its test calls it on an object.

--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -128,7 +128,10 @@
   // time.
   bool cordoned = false;     // chosen by the leader to be scaled in
   bool quarantined = false;  // tasks fail on it
-  bool deleting = false;     // deletion requested; it may happen at any time
+  // Its worker has begun anew while this owner knew it: messages of the former
+  // run may still arrive and seem to be newer.
+  bool restarted = false;
+  bool deleting = false;  // deletion requested; it may happen at any time
   // Its lease has expired or the cloud has confirmed its deletion: no task runs
   // on it any more.
   bool gone = false;
@@ -160,8 +163,8 @@
   bool AcceptsTasks(SteadyTime now) const {
     bool heard_well = heartbeat && fencing_token_seen &&
                       !awaits_second_heartbeat && !inbound.suspect_since;
-    bool stays =
-        !cordoned && !quarantined && !deleting && !gone && !preemption_at;
+    bool stays = !cordoned && !quarantined && !restarted && !deleting &&
+                 !gone && !preemption_at;
     return heard_well && stays && now >= paused_until;
   }
 };
--- a/src/core/partition/heartbeat_handler.cc
+++ b/src/core/partition/heartbeat_handler.cc
@@ -25,6 +25,15 @@
   return false;
 }
 
+// Returns whether the worker that sent `heartbeat` has begun anew since it sent
+// `newest`: it has no fencing token any more. A copy of an old heartbeat
+// without a token has no later agent epoch.
+bool ShowsRestart(const WorkerHeartbeat& newest,
+                  const WorkerHeartbeat& heartbeat) {
+  return newest.fencing_token > 0 && heartbeat.fencing_token == 0 &&
+         heartbeat.agent_epoch > newest.agent_epoch;
+}
+
 }  // namespace
 
 bool HeartbeatHandler::Handle(RequestId request,
@@ -64,7 +73,10 @@
   // a later epoch.
   bool same_epoch = heartbeat.agent_epoch <= newest.agent_epoch;
   if (machine->gone && same_epoch) return true;
-  return heartbeat.id() <= newest.id();
+  if (heartbeat.id() <= newest.id()) return true;
+  // A worker's token never falls while it runs.
+  return heartbeat.fencing_token < newest.fencing_token &&
+         !ShowsRestart(newest, heartbeat);
 }
 
 void HeartbeatHandler::Accept(RequestId request,
@@ -83,6 +95,11 @@
       3 * context_.deployment.heartbeat_interval + kSilenceMargin;
   machine.awaits_second_heartbeat =
       !machine.heartbeat || now - machine.last_heartbeat_time > silence;
+  if (machine.heartbeat && ShowsRestart(*machine.heartbeat, heartbeat)) {
+    machine.restarted = true;
+  }
+  // The deletion has not been confirmed, and the machine is back.
+  if (machine.gone) machine.deleting = false;
   std::optional<WorkerHeartbeat> before = std::move(machine.heartbeat);
   machine.heartbeat = heartbeat;
   machine.last_heartbeat_time = now;
--- a/src/core/partition/heartbeat_handler.h
+++ b/src/core/partition/heartbeat_handler.h
@@ -42,8 +42,9 @@
 
  private:
   // Returns whether the heartbeat is out of date: from a deleted machine, from
-  // one whose lease in that agent epoch has run out, or not newer than the
-  // newest known one.
+  // one whose lease in that agent epoch has run out, not newer than the newest
+  // known one, or with a lower fencing token than that although the worker has
+  // not restarted.
   bool IsStale(const WorkerHeartbeat& heartbeat) const;
   // Stores the heartbeat as the machine's newest and the request as the one to
   // answer. An earlier one that still waits for its answer is refused.
--- a/src/core/partition/machine_health.cc
+++ b/src/core/partition/machine_health.cc
@@ -79,11 +79,13 @@
   size_t silent = 0;
   size_t unreachable = 0;
   for (const auto& [name, machine] : machines_.machines()) {
+    // Only its deletion has not been confirmed.
+    if (machine.gone && machine.deleting) continue;
     (SilenceOf(machine) < recent ? heard : silent) += 1;
     if (InboundUnreachable(machine)) ++unreachable;
   }
-  size_t max_plausible_unreachable = std::max<size_t>(
-      1, machines_.machines().size() / kMachinesPerUnreachable);
+  size_t max_plausible_unreachable =
+      std::max<size_t>(1, (heard + silent) / kMachinesPerUnreachable);
   return {heard >= silent, unreachable <= max_plausible_unreachable};
 }
 
@@ -100,6 +102,7 @@
   if (symptoms.unreachability_plausible && InboundUnreachable(machine)) {
     return "inbound_unreachable";
   }
+  if (machine.restarted) return "restarted";
   bool to_return = machine.cordoned || machine.quarantined;
   bool empty = machine.heartbeat && machine.bound.empty() &&
                machine.pending_request == 0 && machine.heartbeat->tasks.empty();
--- a/src/core/partition/machine_health.h
+++ b/src/core/partition/machine_health.h
@@ -18,8 +18,8 @@
 namespace pitchfall {
 
 // The only writer of `Machine::cordoned`, `Machine::deleting` and
-// `Machine::gone`, except that HeartbeatHandler clears `gone` when it accepts a
-// heartbeat.
+// `Machine::gone`, except that HeartbeatHandler clears `gone`, and `deleting`
+// of a machine that was gone, when it accepts a heartbeat.
 class MachineHealth {
  public:
   MachineHealth(Context& context, const OwnershipTerm& term,
@@ -37,14 +37,16 @@
   // Marks the machine as gone once its worker's lease must have expired, which
   // proves that no task bound to it runs any more.
   void UpdateLease(Machine& machine);
-  // Whether the machine can be removed from the registry: its deletion has been
-  // requested, no task runs on it and none is bound to it.
-  static bool CanRemove(const Machine& machine) {
-    return machine.gone && machine.deleting && machine.bound.empty();
+  // Whether the machine can be removed from the registry: the cloud has
+  // confirmed its deletion, and no task is bound to it. Before, late copies of
+  // its heartbeats could not be told from new ones once it were removed
+  // (RestartedMachine.*).
+  bool CanRemove(const Machine& machine) const {
+    return machine.bound.empty() && machines_.WasDeleted(machine.name);
   }
-  // Asks the cloud to delete machines that send no heartbeats, are drained, or
-  // receive no answers. At most one call is in flight, and every call takes a
-  // token from the budget of cloud calls.
+  // Asks the cloud to delete machines that send no heartbeats, are drained,
+  // have restarted, or receive no answers. At most one call is in flight, and
+  // every call takes a token from the budget of cloud calls.
   void DeleteMachines();
 
  private:
--- a/src/core/partition/partition.cc
+++ b/src/core/partition/partition.cc
@@ -105,7 +105,7 @@
     health_.UpdateCordon(machine);
     health_.UpdateLease(machine);
     drainer_.Drain(machine);
-    if (MachineHealth::CanRemove(machine)) {
+    if (health_.CanRemove(machine)) {
       faults_.ForgetMachine(machine.name);
       entry = machines_.Erase(entry);
     } else {
--- a/src/core/partition/worker_responder.cc
+++ b/src/core/partition/worker_responder.cc
@@ -73,22 +73,23 @@
                           stops};
     context_.outbox.CallWorker(
         machine.address, std::move(request), kCommandTimeout,
-        lifetime_.Wrap([this, name = name,
+        lifetime_.Wrap([this, name = name, newest = machine.heartbeat->id(),
                         stops = std::move(stops)](const WorkerReply& reply) {
-          OnStopReply(name, stops, reply);
+          OnStopReply(name, newest, stops, reply);
         }));
   }
 }
 
-void WorkerResponder::OnStopReply(const std::string& name,
+void WorkerResponder::OnStopReply(const std::string& name, HeartbeatId newest,
                                   const std::vector<WorkerCommand>& stops,
                                   const WorkerReply& reply) {
+  Machine* machine = machines_.Find(name);
   if (reply.heartbeat) {
     entitlement_.OnFencingToken(reply.heartbeat->fencing_token);
+    bool restarted = reply.heartbeat->id() <= newest;
+    if (machine != nullptr && restarted) machine->restarted = true;
   }
-  if (reply.status == http_status::kOk) return;
-  Machine* machine = machines_.Find(name);
-  if (machine == nullptr) return;
+  if (reply.status == http_status::kOk || machine == nullptr) return;
   machine->next_stop = context_.now() + kStopRetryInterval;
   for (const WorkerCommand& stop : stops) {
     auto bound = machine->bound.find({stop.job, stop.task});
--- a/src/core/partition/worker_responder.h
+++ b/src/core/partition/worker_responder.h
@@ -44,7 +44,9 @@
   // The worker reports what it has stopped, and the answers to its heartbeats
   // repeat stops too, but a worker that reaches no controller sends none
   // (DirectStops.AreRepeatedUntilOneIsCarriedOut).
-  void OnStopReply(const std::string& name,
+  // The worker has sent its reply after the heartbeat `newest`; if it numbers
+  // it lower, it has restarted meanwhile.
+  void OnStopReply(const std::string& name, HeartbeatId newest,
                    const std::vector<WorkerCommand>& stops,
                    const WorkerReply& reply);
 
--- a/tests/overlapping_failures_test.cc
+++ b/tests/overlapping_failures_test.cc
@@ -11,6 +11,31 @@
 namespace pitchfall::sim {
 namespace {
 
+// ---- Restarted machines ----
+
+// Guards against review/4: machines restart while the cloud does not delete
+// them, and copies of their earlier heartbeats arrive late. If their owner
+// forgets them, it takes such a copy for the newest heartbeat, and tasks that
+// run for gone: ran_twice.
+TEST(RestartedMachines, RunTasksOnceThoughTheirDeletionIsNotConfirmed) {
+  Play(
+      [](SimulationConfig& config) {
+        config.late_heartbeat = 0.5;
+        config.late_heartbeat_s = 25;
+        config.jobs = 40;
+        config.longest_run_s = 60;
+        config.end = Seconds(500);
+      },
+      [](ClusterSimulation& simulation) {
+        for (double second : {25.0, 45.0, 65.0, 85.0}) {
+          simulation.At(second, [&simulation] {
+            simulation.StopCloud(15);
+            simulation.RestartMachines(3);
+          });
+        }
+      });
+}
+
 // ---- Cancellations that an owner misses during an outage ----
 
 // Schedules a cancellation that the leader cannot read: from `at` the state
--- a/tests/partition_units_test.cc
+++ b/tests/partition_units_test.cc
@@ -301,7 +301,134 @@
   reply.status = 200;
   environment_.outbox.Handle(reply);
   EXPECT_TRUE(machines_.WasDeleted("m-1"));
-  EXPECT_TRUE(MachineHealth::CanRemove(*machines_.Find("m-1")));
+  EXPECT_TRUE(health.CanRemove(*machines_.Find("m-1")));
+}
+
+// ---- Machines whose worker begins anew ----
+
+// The machine m-1 has sent the heartbeat (1, 20) with this owner's token, and
+// then restarts. Guards against review/4: its heartbeats from before were taken
+// for new ones, and tasks that ran on it for gone.
+class RestartedMachine : public PartitionUnit {
+ protected:
+  RestartedMachine()
+      : handler_(context(), term_, machines_, entitlement_, responder_,
+                 faults_),
+        health_(context(), term_, machines_, responder_, reschedule_) {
+    EXPECT_TRUE(Accepts(HeartbeatOf("m-1", 1, 20)));
+    for (const char* name : {"m-2", "m-3"}) AddMachine(name);
+  }
+
+  // Delivers the heartbeat and returns whether it is accepted and answered.
+  bool Accepts(const WorkerHeartbeat& heartbeat) {
+    bool accepted = handler_.Handle(++last_request_, heartbeat);
+    responder_.AnswerHeartbeats(context().now());
+    EXPECT_EQ(ReplyStatus(), accepted ? 200 : 503);
+    return accepted;
+  }
+  // A heartbeat of a worker that has not been answered yet.
+  WorkerHeartbeat FirstHeartbeat(uint64_t epoch, uint64_t sequence) {
+    WorkerHeartbeat heartbeat = HeartbeatOf("m-1", epoch, sequence);
+    heartbeat.fencing_token = 0;
+    return heartbeat;
+  }
+  // Lets the lease of m-1 expire while the other machines report, and lets its
+  // deletion be requested without success.
+  void LoseMachine(int status) {
+    environment_.Advance(Seconds(11));
+    for (const char* name : {"m-2", "m-3"}) AddMachine(name);
+    health_.UpdateLease(*machine());
+    ASSERT_TRUE(machine()->gone);
+    AnswerDeletion(status);
+    ASSERT_TRUE(machine()->deleting);
+  }
+  // Lets the next deletion be requested, and answers it.
+  void AnswerDeletion(int status) {
+    environment_.Advance(Seconds(2));
+    for (const char* name : {"m-2", "m-3"}) AddMachine(name);
+    health_.DeleteMachines();
+    CloudReply reply;
+    reply.status = status;
+    for (const Effect& effect : environment_.outbox.TakeEffects()) {
+      const auto* call = std::get_if<CloudCall>(&effect);
+      if (call != nullptr) reply.call = call->call;
+    }
+    ASSERT_NE(reply.call, 0u) << "no deletion was requested";
+    environment_.outbox.Handle(reply);
+  }
+  Machine* machine() { return machines_.Find("m-1"); }
+
+  RequestId last_request_ = 0;
+  HeartbeatHandler handler_;
+  MachineHealth health_;
+};
+
+TEST_F(RestartedMachine, IsKeptUntilItsDeletionIsConfirmed) {
+  for (int status : {503, 0}) {
+    LoseMachine(status);
+    EXPECT_FALSE(health_.CanRemove(*machine()));
+    // The new run has the same epoch, the copy is an old one.
+    EXPECT_FALSE(Accepts(FirstHeartbeat(1, 3)));
+    EXPECT_FALSE(Accepts(HeartbeatOf("m-1", 1, 20)));
+  }
+  AnswerDeletion(200);
+  EXPECT_TRUE(health_.CanRemove(*machine()));
+  EXPECT_FALSE(Accepts(HeartbeatOf("m-1", 2, 1)));
+}
+
+TEST_F(RestartedMachine, TakesNoTaskAndIsDeleted) {
+  LoseMachine(503);
+  EXPECT_TRUE(Accepts(FirstHeartbeat(2, 14)));
+  EXPECT_TRUE(Accepts(HeartbeatOf("m-1", 2, 15)));
+  EXPECT_FALSE(machine()->AcceptsTasks(context().now()));
+  AnswerDeletion(200);
+  EXPECT_TRUE(machines_.WasDeleted("m-1"));
+}
+
+// Another restart of the machine is of no consequence, but a worker that only
+// was cut off keeps its token and its numbers.
+TEST_F(RestartedMachine, IsToldFromOneThatWasCutOff) {
+  LoseMachine(503);
+  EXPECT_TRUE(Accepts(HeartbeatOf("m-1", 2, 31)));
+  EXPECT_TRUE(Accepts(HeartbeatOf("m-1", 2, 32)));
+  EXPECT_FALSE(machine()->deleting);
+  EXPECT_TRUE(machine()->AcceptsTasks(context().now()));
+}
+
+// A late heartbeat of the former run has a higher number than those of the new
+// one, and the token of an earlier owner.
+TEST_F(RestartedMachine, IsNotRepresentedByAnOldHeartbeatWithAnEarlierToken) {
+  for (uint64_t token : {uint64_t{0}, kFencingToken - 1}) {
+    WorkerHeartbeat late = HeartbeatOf("m-1", 1, 99);
+    late.fencing_token = token;
+    EXPECT_FALSE(Accepts(late));
+  }
+  WorkerHeartbeat later_epoch = HeartbeatOf("m-1", 3, 99);
+  later_epoch.fencing_token = kFencingToken - 1;
+  EXPECT_FALSE(Accepts(later_epoch));
+  EXPECT_TRUE(Accepts(HeartbeatOf("m-1", 1, 21)));
+  EXPECT_TRUE(machine()->AcceptsTasks(context().now()));
+}
+
+TEST_F(RestartedMachine, IsRecognisedByItsReplyToADirectStop) {
+  StoreJob(SmallJob());
+  for (uint64_t sequence : {uint64_t{21}, uint64_t{20}}) {
+    BoundAttempt& attempt = Bind(*machine());
+    attempt.start_sent = HeartbeatId{1, 19};
+    attempt.drain_requested = true;
+    attempt.stop_sent = false;
+    responder_.SendDirectStops();
+    WorkerReply reply;
+    reply.status = 200;
+    reply.heartbeat = HeartbeatOf("m-1", 1, sequence);
+    for (const Effect& effect : environment_.outbox.TakeEffects()) {
+      const auto* call = std::get_if<WorkerCall>(&effect);
+      if (call != nullptr) reply.call = call->call;
+    }
+    ASSERT_NE(reply.call, 0u);
+    environment_.outbox.Handle(reply);
+    EXPECT_EQ(machine()->restarted, sequence == 20);
+  }
 }
 
 TEST_F(PartitionUnit, NoMachineIsDeletedIfMostAreSilent) {
--- a/tests/sim/cluster_simulation.cc
+++ b/tests/sim/cluster_simulation.cc
@@ -169,6 +169,8 @@
   if (config_.wide_jobs > 0) AddWideJobs();
   if (config_.owner_cuts)
     After(RandomDuration(8, 12), [this] { CutOwnerAsJobsStart(); });
+  if (config_.machine_restarts)
+    After(RandomDuration(15, 20), [this] { RestartMachinesWithoutCloud(); });
   if (config_.odd_requests) After(Seconds(2), [this] { SendInvalidRequest(); });
   After(Seconds(1), [this] { CheckForgotten(); });
   After(Seconds(1), [this] { CheckWaiting(); });
@@ -1516,6 +1518,18 @@
   });
 }
 
+void ClusterSimulation::RestartMachines(size_t count) {
+  for (; count > 0; --count) RestartMachine();
+}
+
+void ClusterSimulation::RestartMachinesWithoutCloud() {
+  if (now_ - SteadyTime(Seconds(1000)) > config_.faults_until) return;
+  StopCloud(ToSeconds(RandomDuration(8, 20)));
+  RestartMachines(1 + RandomIndex(3));
+  faults_over_at_ = std::max(faults_over_at_, now_ + Seconds(30));
+  After(RandomDuration(10, 25), [this] { RestartMachinesWithoutCloud(); });
+}
+
 void ClusterSimulation::CutInboundForever() {
   for (const auto& [name, simulated] : machines_) {
     if (static_cast<int>(inbound_cut_.size()) >= config_.inbound_cut_machines)
--- a/tests/sim/cluster_simulation.h
+++ b/tests/sim/cluster_simulation.h
@@ -80,6 +80,9 @@
   // Adds random faults: owners lose the state service and their peers, but not
   // their workers, as users cancel jobs whose tasks are starting.
   bool owner_cuts = false;
+  // Adds random faults: machines restart while the cloud is unavailable, so
+  // that their deletion is not confirmed.
+  bool machine_restarts = false;
   // The longest time until a randomly crashed controller is back.
   double longest_down_s = 4;
   // Adds one large job of low priority at 10 s, and small ones of high priority
@@ -192,6 +195,9 @@
   void CutInbound(double share, double seconds);
   void CutOutbound(double share, double seconds);
   void KillMachines(double share);
+  // So many machines are back in less than a second, with a worker that begins
+  // anew.
+  void RestartMachines(size_t count);
   // Users cancel up to that many running jobs. Machines that run their tasks
   // hang for `hang_s`; 0: none does.
   void CancelNow(int count, double hang_s);
@@ -371,6 +377,7 @@
   bool CutOff(size_t index, const std::string& machine) const;
   const std::string& PickMachine();
   void RestartMachine();
+  void RestartMachinesWithoutCloud();
   void CutInboundForever();
   void IsolateNode();
   void AddSaturatingLoad();
--- a/tests/soak.cc
+++ b/tests/soak.cc
@@ -63,6 +63,14 @@
     config.lease_s = 14;
     config.cancel_s = 34;
   }
+  if (seed % 13 == 0) {
+    config.machine_restarts = true;
+    config.late_heartbeat = 0.3;
+    config.late_heartbeat_s = 25;
+    config.longest_run_s = 60;
+    config.team_limit = 120;
+    config.end = Seconds(500);
+  }
   return config;
 }
 
