--- a/tests/digests.sh
+++ b/tests/digests.sh
@@ -6,7 +6,7 @@
 soak=$1/tests/pitchfall_soak
 here=$(dirname "$0")
 digests() {
-  # Seeds 1 to 60, and four in whose schedules pitchfall_soak finds faults.
+  # Seeds 1 to 60, and four in whose schedules pitchfall_soak found faults.
   { seq 1 60; printf '%s\n' 9044 9164 9296 9404; } |
     xargs -P"$(nproc)" -I{} "$soak" --digest {} 1 | sort -k1,1n -k2,2
 }
